--- /dev/null
+++ b/adapter/src/host.rs
@@ -0,0 +1,422 @@
+//! Hosts many planners that share nothing and translates between the wire and their interface.
+
+use crate::wire::{Host as HostEntry, In, Out};
+use runloom::ids::Ids;
+use runloom::interface::{Entry, Event, Fact, Facts, Found, FurtherTries, Listing, Mode, Order};
+use runloom::Planner;
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::time::Duration;
+
+/// The wire's name of each fact, and ours.
+const FACT_NAMES: &[(&str, &str)] = &[
+    ("balancers", "planners"),
+    ("selfIndex", "self"),
+    ("tickS", "tick"),
+    ("registryMode", "list.mode"),
+    ("weightSource", "list.weights"),
+    ("stats.how", "reports.load"),
+    ("limits.probing", "probes.allowed"),
+    ("limits.peers", "peers.allowed"),
+    ("limits.connIdleS", "connection.idle"),
+    ("limits.connectTimeoutS", "connection.patience"),
+    ("limits.streamsPerConn", "connection.queries"),
+    ("familyInfo.connsLeast", "connection.least"),
+    ("familyInfo.backlog", "channel.backlog"),
+    ("familyInfo.channelRate", "channel.pace"),
+    ("familyInfo.overhead", "channel.overhead"),
+    ("familyInfo.reloadsMax", "channel.messages"),
+    ("familyInfo.messagesOverS", "channel.messages_over"),
+    ("familyInfo.transitS", "channel.transit"),
+    ("familyInfo.lateMostS", "channel.transit_most"),
+    ("familyInfo.unservedMaxS", "bare_most"),
+    ("familyInfo.levelKind", "levels.kind"),
+    ("familyInfo.retryDefault", "tries.usual"),
+    ("familyInfo.tryAims", "tries.patience"),
+    ("familyInfo.ranges", "slices"),
+    ("familyInfo.exclusive", "slices.single_owner"),
+    ("familyInfo.leaseS", "slices.lease"),
+    ("familyInfo.bufferForS", "slices.wait"),
+    ("familyInfo.lingersS", "writes.linger"),
+    ("familyInfo.hearsPerS", "reports.pace"),
+    ("familyInfo.periodS", "reports.period"),
+    ("familyInfo.choice", "pick"),
+    ("familyInfo.failsToEject", "shun.after"),
+    ("familyInfo.proxies", "proxies"),
+    ("familyInfo.defaultSize", "standing.size"),
+    ("familyInfo.localFirst", "home_first"),
+    ("familyInfo.warmKeys", "keys.warm"),
+    ("familyInfo.pushPrice", "price.orders"),
+    ("familyInfo.movePrice", "price.moves"),
+    ("prices.crossZone", "price.cross_zone"),
+    ("prices.waste", "price.waste"),
+    ("prices.lateFail", "price.late_failure"),
+    ("prices.probe", "price.probe"),
+    ("prices.connection", "price.connection"),
+    ("prices.handshake", "price.handshake"),
+    ("rules.drainGraceS", "drain.grace"),
+    ("rules.droppedStayOpen", "drain.marked_only"),
+    ("rules.askEveryS", "list.ask_every"),
+    ("rules.coldFrom", "cold.from"),
+    ("rules.warmAfterS", "cold.warm_after"),
+    ("rules.fallMultiple", "cold.multiple"),
+    ("rules.fallS", "cold.span"),
+];
+
+/// The same for the keys of each class.
+const CLASS_NAMES: &[(&str, &str)] = &[
+    ("aimS", "soft_limit"),
+    ("hardLimitS", "outer_limit"),
+    ("credit", "payoff"),
+    ("lateWorth", "late_share"),
+    ("repeat", "repeat"),
+    ("group", "repeat_group"),
+    ("windowS", "repeat_window"),
+];
+
+/// The same for what a load report may hold.
+const LOAD_NAMES: &[(&str, &str)] = &[
+    ("rif", "held"),
+    ("q", "waiting"),
+    ("busy", "busy"),
+    ("lat_ms", "work_time"),
+    ("rate", "handled_rate"),
+    ("fail_rate", "failure_rate"),
+];
+
+struct Instance {
+    planner: Planner,
+    servers: Ids<u64>,
+    proxies: Ids<u32>,
+    zones: Ids<String>,
+    kinds: Ids<String>,
+    classes: Ids<String>,
+    open_level: f64,
+    happened: Vec<Event>,
+}
+
+/// The planners of one process and the batch being read.
+#[derive(Default)]
+pub struct Hosted {
+    instances: BTreeMap<u64, Instance>,
+}
+
+fn span(seconds: Option<f64>) -> Duration {
+    seconds.and_then(|s| Duration::try_from_secs_f64(s).ok()).unwrap_or_default()
+}
+
+fn load(values: Option<Vec<Option<f64>>>) -> Vec<f64> {
+    values.unwrap_or_default().into_iter().map(|v| v.unwrap_or(f64::NAN)).collect()
+}
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.chars().filter_map(|c| c.to_digit(16)).map(|d| d as u8).collect();
+    digits.chunks_exact(2).map(|pair| pair[0] * 16 + pair[1]).collect()
+}
+
+fn fact(value: &Value) -> Option<Fact> {
+    match value {
+        Value::Number(n) => n.as_f64().map(Fact::Number),
+        Value::Bool(b) => Some(Fact::Flag(*b)),
+        Value::String(s) => Some(Fact::Text(s.clone())),
+        _ => None,
+    }
+}
+
+fn named<'a>(names: &[(&str, &'a str)], wire: &str) -> Option<&'a str> {
+    names.iter().find(|(w, _)| *w == wire).map(|(_, ours)| *ours)
+}
+
+/// The start message's settings as the plain map that the planner reads.
+fn facts(settings: &Value, classes: &mut Ids<String>, zones: &mut Ids<String>) -> Facts {
+    let mut map = BTreeMap::new();
+    let list = |path: &str| settings.pointer(path).and_then(Value::as_array).cloned().unwrap_or_default();
+    for (wire, ours) in FACT_NAMES {
+        let path = format!("/{}", wire.replace('.', "/"));
+        if let Some(value) = settings.pointer(&path).and_then(fact) {
+            map.insert(ours.to_string(), value);
+        }
+    }
+    for (k, class) in list("/classes").iter().enumerate() {
+        classes.index(class["name"].as_str().map_or_else(|| format!("#{k}"), str::to_string));
+        for (wire, ours) in CLASS_NAMES {
+            if let Some(value) = fact(&class[*wire]) {
+                map.insert(format!("class.{k}.{ours}"), value);
+            }
+        }
+        for (wire, ours) in [("homeOnly", "home_only"), ("classWrites", "writes")] {
+            if let Some(value) = fact(&settings["familyInfo"][wire][k]) {
+                map.insert(format!("class.{k}.{ours}"), value);
+            }
+        }
+    }
+    map.insert("classes".into(), Fact::Number(list("/classes").len() as f64));
+    for zone in list("/zones").iter().filter_map(Value::as_str) {
+        zones.index(zone.to_string());
+    }
+    map.insert("zones".into(), Fact::Number(list("/zones").len() as f64));
+    if let Some(home) = settings["myZone"].as_str() {
+        map.insert("home".into(), Fact::Number(zones.index(home.to_string()) as f64));
+    }
+    for (k, field) in list("/stats/fields").iter().enumerate() {
+        let text = field.as_str().unwrap_or_default();
+        map.insert(format!("load.{k}"), Fact::Text(named(LOAD_NAMES, text).unwrap_or(text).into()));
+    }
+    for (wire, ours) in [("ratio", "share"), ("rps", "pace")] {
+        if map.get("levels.kind") == Some(&Fact::Text(wire.into())) {
+            map.insert("levels.kind".into(), Fact::Text(ours.into()));
+        }
+    }
+    Facts(map)
+}
+
+impl Instance {
+    fn new(seed: u64, settings: &Value) -> Self {
+        let (mut classes, mut zones) = (Ids::default(), Ids::default());
+        let facts = facts(settings, &mut classes, &mut zones);
+        // On the wire "all" is 1 for a share and has no upper end for a pace.
+        let open_level = if facts.text("levels.kind") == "pace" { 1e9 } else { 1.0 };
+        Instance {
+            planner: Planner::default(),
+            servers: Ids::default(),
+            proxies: Ids::default(),
+            zones,
+            kinds: Ids::default(),
+            classes,
+            open_level,
+            happened: vec![Event::Start { seed, facts }],
+        }
+    }
+
+    fn entry(&mut self, host: HostEntry) -> Entry {
+        Entry {
+            server: self.servers.index(host.server),
+            zone: self.zones.index(host.az.unwrap_or_default()),
+            kind: self.kinds.index(host.sku.unwrap_or_default()),
+            cell: host.group.unwrap_or(0),
+            mode: match host.mode.as_deref() {
+                Some("DRAINING") => Mode::Draining,
+                Some("DELETED") => Mode::Gone,
+                _ => Mode::Ready,
+            },
+            weight: host.share.unwrap_or(1.0),
+            started: host.last_start_s.filter(|s| *s > 0.0).map(|s| span(Some(s))),
+        }
+    }
+
+    /// One event in the planner's words; `None` where it names a class that is not there.
+    fn translate(&mut self, event: In) -> Option<Event> {
+        Some(match event {
+            In::Discovery { how, hosts, .. } => {
+                let how = match how.as_str() {
+                    "Partial" => Listing::Changes,
+                    "Complete" => Listing::Whole,
+                    "Persisted" => Listing::Remembered,
+                    _ => Listing::Failed,
+                };
+                let entries = hosts.unwrap_or_default().into_iter().map(|h| self.entry(h)).collect();
+                Event::Listed { how, entries }
+            }
+            In::Traffic { edge, n, covers_s, tier_class, errors, .. } => Event::Came {
+                proxy: self.proxies.index(edge),
+                class: self.classes.known(&tier_class)?,
+                queries: n.unwrap_or(0),
+                unanswered: errors.unwrap_or(0),
+                span: span(covers_s),
+            },
+            In::SliceLoad { tier_class, table, n, covers_s, errors, .. } => Event::CameForSlice {
+                table,
+                class: self.classes.known(&tier_class)?,
+                queries: n.unwrap_or(0),
+                unanswered: errors.unwrap_or(0),
+                span: span(covers_s),
+            },
+            In::Peer { sender, payload, .. } => {
+                Event::Told { peer: sender as usize, bytes: hex(&payload.unwrap_or_default()) }
+            }
+            In::Timer { token, .. } => Event::Woken { token },
+            In::TookEffect { edge, gen, elapsed_s, .. } => {
+                Event::Applied { proxy: self.proxies.index(edge), mark: gen, after: span(elapsed_s) }
+            }
+            In::StoredLine { table, server, share, .. } => {
+                Event::Stored { table, server: self.servers.index(server), weight: share.unwrap_or(1.0) }
+            }
+            In::Echo { ending, elapsed_s, server, metrics, .. } => Event::Probed {
+                server: self.servers.index(server),
+                found: match ending.as_str() {
+                    "served" => Found::Handled,
+                    "server_error" => Found::Failed,
+                    "turned_away" => Found::TurnedAway,
+                    "no_answer" => Found::NoAnswer,
+                    "no_connection" | "connection_lost" => Found::NoConnection,
+                    _ => Found::Nothing,
+                },
+                after: span(elapsed_s),
+                load: load(metrics),
+            },
+            In::Given { table, set, .. } => Event::Charge { table, held: set.unwrap_or(false) },
+            In::LostStream { edge, .. } => Event::Left { proxy: self.proxies.index(edge) },
+            In::Roundup { az, server, n, errors, elapsed_s, covers_s, metrics, .. } => Event::Met {
+                zone: self.zones.index(az),
+                server: self.servers.index(server),
+                tries: n.unwrap_or(0),
+                failed: errors.unwrap_or(0),
+                took: span(elapsed_s),
+                span: span(covers_s),
+                load: load(metrics),
+            },
+            In::Joined { az, share, edge, set, .. } => Event::Joined {
+                proxy: self.proxies.index(edge),
+                zone: self.zones.index(az),
+                rate: share.unwrap_or(0.0),
+                fresh: set.unwrap_or(false),
+            },
+            In::Frame { .. } | In::Commit | In::Hello { .. } | In::Teardown { .. } | In::Unknown => {
+                return None
+            }
+        })
+    }
+
+    /// One order in the wire's words; `None` where it names what the wire has not named before.
+    fn put(&self, planner: u64, order: Order) -> Option<Out> {
+        let server = |index: usize| self.servers.outside(index).copied();
+        Some(match order {
+            Order::Line { table, server: s, weight } => {
+                Out::Endpoint { planner, table, server: server(s)?, share: weight }
+            }
+            Order::Clear { table } => Out::Truncate { planner, table },
+            Order::Withdraw { server: s, out } => Out::Pull { planner, set: out, server: server(s)? },
+            Order::Bind { proxy, table } => {
+                Out::AttachTable { planner, edge: *self.proxies.outside(proxy)?, table, class_bits: 0 }
+            }
+            Order::Level { table, class, level, tries } => Out::Throttle {
+                planner,
+                table,
+                class_bits: 1 << class,
+                allowance: level.unwrap_or(self.open_level),
+                retry_mode: match tries {
+                    FurtherTries::None => 0,
+                    FurtherTries::Unrun => 1,
+                    FurtherTries::One => 2,
+                    FurtherTries::Two => 3,
+                },
+            },
+            Order::Mark { mark, everyone } => Out::FencePost { planner, gen: mark, set: everyone },
+            Order::Probe { server: s } => Out::HealthCheck { planner, server: server(s)? },
+            Order::Tell { peer, bytes } => Out::MemoTo {
+                planner,
+                recipient: peer.map_or(Value::from("*"), Value::from),
+                payload: bytes.iter().map(|b| format!("{b:02x}")).collect(),
+            },
+            Order::Subscribe { on } => Out::Listen { planner, set: on },
+            Order::Fetch => Out::QueryAll { planner },
+            Order::Wake { after, token } => Out::WakeMe { planner, in_s: after.as_secs_f64(), token },
+            Order::Log { text } => Out::WriteLog { planner, reason_text: text },
+        })
+    }
+}
+
+impl Hosted {
+    /// Takes in one event of a batch. What can't be used is noted on standard error and left.
+    pub fn take(&mut self, event: In) {
+        let planner = match &event {
+            In::Hello { planner, rng_seed, facts } => {
+                let settings = facts.clone().unwrap_or(Value::Null);
+                self.instances.insert(*planner, Instance::new(rng_seed.unwrap_or(0), &settings));
+                return;
+            }
+            In::Teardown { planner } => {
+                if self.instances.remove(planner).is_none() {
+                    eprintln!("runloom-adapter: ignored an end of instance {planner}, which does not run");
+                }
+                return;
+            }
+            In::Discovery { planner, .. }
+            | In::Traffic { planner, .. }
+            | In::Peer { planner, .. }
+            | In::Timer { planner, .. }
+            | In::TookEffect { planner, .. }
+            | In::SliceLoad { planner, .. }
+            | In::StoredLine { planner, .. }
+            | In::Echo { planner, .. }
+            | In::Given { planner, .. }
+            | In::LostStream { planner, .. }
+            | In::Roundup { planner, .. }
+            | In::Joined { planner, .. } => *planner,
+            In::Frame { .. } | In::Commit | In::Unknown => return,
+        };
+        let Some(instance) = self.instances.get_mut(&planner) else {
+            eprintln!("runloom-adapter: ignored an event for instance {planner}, which does not run");
+            return;
+        };
+        match instance.translate(event) {
+            Some(event) => instance.happened.push(event),
+            None => eprintln!("runloom-adapter: ignored an event of instance {planner} on an unknown class"),
+        }
+    }
+
+    /// Lets every planner with events decide, and gives the reply's lines.
+    pub fn reply(&mut self, now: Duration) -> Vec<Out> {
+        let mut reply = Vec::new();
+        for (&planner, instance) in self.instances.iter_mut().filter(|(_, i)| !i.happened.is_empty()) {
+            let happened = std::mem::take(&mut instance.happened);
+            let decided = catch_unwind(AssertUnwindSafe(|| instance.planner.decide(now, &happened)));
+            match decided {
+                Ok(orders) => reply.extend(orders.into_iter().filter_map(|o| instance.put(planner, o))),
+                Err(cause) => {
+                    let text = cause
+                        .downcast_ref::<String>()
+                        .cloned()
+                        .or_else(|| cause.downcast_ref::<&str>().map(|s| s.to_string()))
+                        .unwrap_or_else(|| "a panic without a text".into());
+                    reply.push(Out::Panic { planner, reason_text: text });
+                }
+            }
+        }
+        reply.push(Out::Next);
+        reply
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn line(text: &str) -> In {
+        serde_json::from_str(text).expect("a legal line")
+    }
+
+    fn started() -> Hosted {
+        let mut hosted = Hosted::default();
+        hosted.take(line(r#"{"verb":"HELLO","planner":3,"rngSeed":5,"facts":{"classes":[{"name":"a"}]}}"#));
+        hosted
+    }
+
+    #[test]
+    fn an_event_for_an_instance_that_does_not_run_is_never_answered() {
+        let mut hosted = started();
+        hosted.take(line(r#"{"verb":"TIMER","planner":4,"token":1}"#));
+        let reply = serde_json::to_string(&hosted.reply(Duration::ZERO)).unwrap();
+        assert!(reply.contains(r#""planner":3"#) && !reply.contains(r#""planner":4"#));
+    }
+
+    #[test]
+    fn nulls_and_unknown_keys_are_legal() {
+        let text = r#"{"verb":"ROUNDUP","planner":3,"az":"z","server":9,"n":1,"metrics":null,"new":[]}"#;
+        let mut hosted = started();
+        hosted.take(line(text));
+        assert_eq!(hosted.instances[&3].happened.len(), 2);
+    }
+
+    #[test]
+    fn the_facts_come_under_our_names() {
+        let settings = serde_json::json!({
+            "classes": [{"name": "a", "aimS": 0.5}], "familyInfo": {"levelKind": "rps", "homeOnly": [true]},
+            "stats": {"fields": ["rif"]}, "zones": ["x", "y"], "myZone": "y"});
+        let facts = facts(&settings, &mut Ids::default(), &mut Ids::default());
+        assert_eq!(facts.number("class.0.soft_limit"), Some(0.5));
+        assert_eq!((facts.text("levels.kind"), facts.text("load.0")), ("pace", "held"));
+        assert_eq!((facts.number("home"), facts.flag("class.0.home_only")), (Some(1.0), true));
+    }
+}
