Levels: cap every class under a limit, rise in proportion to room

Cause: under a limit the dearest class had no cap, so clients' repeats undid the cut; then the limit crept back by 5% a second while the fleet stood half idle. Also holds against any surge of repeats; could hurt where a class's traffic truly grows by over a fifth within a report's delay.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -551,16 +551,18 @@
         let gate = &mut self.gate;
         gate.times.halve();
         gate.best = gate.handled.max(gate.best * 0.99);
-        let rested = now >= gate.changed + Duration::from_secs(2);
+        let rested = now >= gate.changed + Duration::from_secs(if gate.limit.is_some() { 2 } else { 1 });
         if pressure > 1.0 && rested {
             if gate.tries_cut {
                 // To what is handled, less a tenth to work off what waits.
                 gate.limit = Some(gate.handled.max(gate.best * 0.6) * 0.9);
             }
             (gate.tries_cut, gate.changed) = (true, now);
-        } else if pressure < 0.8 {
+        } else if pressure < 0.9 {
             let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
-            gate.limit = gate.limit.map(|l| l * 1.05).filter(|l| *l < came * 1.2);
+            // The more room, the longer the step: a fleet at rest is let in within a few seconds.
+            let step = 1.0 + 0.2 * (1.0 - pressure);
+            gate.limit = gate.limit.map(|l| l * step).filter(|l| *l < came * 1.2);
             // Tries come back last, five seconds after all is let in again.
             gate.tries_cut &= gate.limit.is_some() || now < gate.changed + Duration::from_secs(5);
         }
@@ -584,13 +586,15 @@
             let part = rest.max(all * 0.05);
             if part < all && self.facts.text("levels.kind") == "share" {
                 levels[class].0 = Some(part / all);
-            } else if part < all && self.facts.text("levels.kind") == "pace" {
+            } else if self.facts.text("levels.kind") == "pace" {
+                // Where all fits, room for a surge of a fifth, so that clients' repeats can't undo the cut.
+                levels[class].0 = came.last().map(|most| most * 1.2);
                 // One pace for every proxy: it binds the busy ones until the sum fits.
                 let mut left = part;
                 for (k, pace) in came.iter().enumerate() {
                     let even = left / (came.len() - k) as f64;
-                    levels[class].0 = Some(even);
                     if *pace > even {
+                        levels[class].0 = Some(even);
                         break;
                     }
                     left -= pace;
