Weights: tries against busyness where load reports tell it

Cause: the list's weights are rough, so slow servers filled up and fell into time-outs while others idled. Where a report says how busy a server is and no other planner sends to it, tries over busyness is its own capacity, with no loop through late reports. Also holds against a server slowed by anything; could hurt where busyness counts foreign work.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -514,22 +514,30 @@
 
     /// Once a beat: how swift each server is against its kind, and how much the fleet can take.
     fn gauge(&mut self) {
+        // The best evidence that there is: tries against how busy they kept it, which needs no one else's
+        // tries; the server's own time for a query; else what its queries took, waiting included.
+        let alone = self.fact("planners", 1.0) <= 1.0;
         let kinds = self.nodes.iter().map(|n| n.kind + 1).max().unwrap_or(0);
         for kind in 0..kinds {
-            let mut seen: Vec<(Server, f64)> = Vec::new();
-            for (s, n) in self.nodes.iter().enumerate().filter(|(_, n)| n.kind == kind && n.in_service()) {
-                if n.work.count() >= 4.0 {
-                    seen.push((s, n.work.mean()));
+            let mut seen: Vec<(Server, f64, bool)> = Vec::new();
+            for (s, n) in self.nodes.iter().enumerate().filter(|(_, n)| n.in_service()) {
+                let idle = n.tries < 8.0 || n.standing == Standing::Ramping;
+                if alone && n.busy > 0.05 && kind == 0 && !idle {
+                    seen.push((s, n.listed * f64::from(n.busy / n.tries), true));
+                } else if alone && n.busy > 0.05 || n.kind != kind {
+                } else if n.work.count() >= 4.0 {
+                    seen.push((s, n.work.mean(), false));
                 } else if n.times.count() >= 8.0 {
-                    seen.push((s, n.times.mean()));
+                    seen.push((s, n.times.mean(), false));
                 }
             }
-            let mean = seen.iter().map(|(_, t)| t.ln()).sum::<f64>() / seen.len().max(1) as f64;
-            for (s, time) in seen {
-                let node = &mut self.nodes[s];
+            let mean = seen.iter().map(|(_, t, _)| t.ln()).sum::<f64>() / seen.len().max(1) as f64;
+            for (s, time, direct) in seen {
+                let swift = &mut self.nodes[s].swift;
                 let lag = (mean - time.ln()).clamp(-1.0, 1.0);
                 // Small steps: reports are seconds late, and a step is felt before it is seen.
-                node.swift = (node.swift * (lag * 0.1).exp()).clamp(0.4, 1.6);
+                let goal = if direct { lag.exp() } else { *swift * lag.exp() };
+                *swift = (*swift * (goal / *swift).powf(if direct { 0.3 } else { 0.1 })).clamp(0.4, 2.0);
             }
         }
         self.gates();
