--- a/src/logic.rs
+++ b/src/logic.rs
@@ -526,7 +526,7 @@
                     seen.push((s, n.listed * f64::from(n.busy / n.tries), true));
                 } else if alone && n.busy > 0.05 || n.kind != kind {
                 } else if n.work.count() >= 4.0 {
-                    seen.push((s, n.work.mean(), false));
+                    seen.push((s, n.listed * n.work.mean(), true));
                 } else if n.times.count() >= 8.0 {
                     seen.push((s, n.times.mean(), false));
                 }
