Judge: stand out further, and be silent longer, when most servers suffer

Cause: under overload time-outs in a row look like dead servers; withdrawing them pushes over the rest.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -406,9 +406,11 @@
             let node = &mut self.nodes[s];
             // Half the tries failing is the design's mark; a server is never judged on what all suffer, so
             // it must also stand out from the usual. Eight tries are the least that tell half from few.
-            let failing = node.tries >= 8.0 && node.failed / node.tries > (usual + 0.3).max(0.5);
+            let failing = node.tries >= 8.0 && node.failed / node.tries > (2.0 * usual + 0.2).max(0.5);
             // Nothing but failures, so many in a row that chance gives them once in ten thousand times.
-            let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4;
+            let patience = Duration::from_secs(if usual > 0.1 { 3 } else { 0 });
+            let dead =
+                node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && now >= node.good_at + patience;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
             let quiet = now >= node.good_at + Duration::from_millis(1500);
             let gone =
