Gate: count what is handled by the span that each report covers

Cause: after a pause reports come in a burst, one beat's count read as twice the fleet's pace, and the level was set by it. Told from overload alone by levels rising while time-outs rose. Change: pace is count over covered span. Withdrawals are now told in the log.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -81,6 +81,8 @@
     /// Failed tries since the last good one.
     run: f32,
     good_at: Duration,
+    /// Good answers a second, by zone of the proxies.
+    flow: Vec<f64>,
     times: Times,
     work: Times,
     busy: f32,
@@ -175,10 +177,9 @@
     limit: Option<f64>,
     tries_cut: bool,
     changed: Duration,
-    best: f64,
-    /// Good answers a second, smoothed, and those of this beat.
+    /// Good answers a second, and the most of late.
     handled: f64,
-    counted: f64,
+    best: f64,
     times: Times,
     sent: Vec<(Option<f64>, FurtherTries)>,
 }
@@ -197,6 +198,8 @@
     halved_at: Duration,
     listed_once: bool,
     token: u64,
+    /// Lines for the operators' log.
+    told: Vec<String>,
 }
 
 impl Planner {
@@ -223,6 +226,7 @@
             self.probe(&mut orders);
         }
         self.send(beat, &mut orders);
+        orders.extend(self.told.drain(..).map(|text| Order::Log { text }));
         orders
     }
 
@@ -269,16 +273,20 @@
                 self.channel.dropped(*proxy, |_| true);
             }
             Event::Applied { proxy, mark, .. } => self.channel.applied(*proxy, *mark),
-            Event::Met { server, tries, failed, took, load, .. } => {
+            Event::Met { zone, server, tries, failed, took, span, load } => {
                 let good = tries.saturating_sub(*failed) as f32;
                 let took = took.as_secs_f64();
                 if good > 0.0 && took > 0.0 {
-                    self.gate.counted += f64::from(good);
                     self.gate.times.add(took, good);
                 }
                 self.loaded(*server, load);
                 let node = self.node(*server);
                 node.heard = now;
+                if node.flow.len() <= *zone {
+                    node.flow.resize(*zone + 1, 0.0);
+                }
+                // By the span that a line covers: lines come late and in bursts.
+                node.flow[*zone] += (f64::from(good) / span.as_secs_f64().max(0.1) - node.flow[*zone]) * 0.5;
                 if now < node.deaf_until {
                     return;
                 }
@@ -374,10 +382,12 @@
         self.listed_once = true;
     }
 
-    /// Once a beat: halves what is measured and takes up the beat's counts.
+    /// Once a beat: what is handled now; what is measured is halved.
     fn measure(&mut self) {
-        self.gate.handled += (self.gate.counted - self.gate.handled) * 0.5;
-        self.gate.counted = 0.0;
+        for node in self.nodes.iter_mut().filter(|n| self.now >= n.heard + Duration::from_secs(3)) {
+            node.flow.clear();
+        }
+        self.gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
         // Three seconds hold some tens of tries at a server that gets a few a second.
         if self.now < self.halved_at + Duration::from_secs(3) {
             return;
@@ -466,6 +476,11 @@
         // Three in sixty seconds, as the design has it.
         node.withdrawals.retain(|at| now < *at + Duration::from_secs(60));
         node.enter(if node.withdrawals.len() >= 3 { Standing::Held } else { Standing::Withdrawn }, now);
+        let (run, share) = (node.run, node.failed / node.tries.max(1.0));
+        self.told.push(format!(
+            "{now:.1?} server {s} {:?}: {run} failed in a row, {share:.2} in all",
+            node.standing
+        ));
     }
 
     /// Under half of a zone in service: what was withdrawn there returns, ramping. Servers that gave
