--- a/src/logic.rs
+++ b/src/logic.rs
@@ -579,8 +579,9 @@
         let rested = now >= gate.changed + Duration::from_secs(if gate.limit.is_some() { 2 } else { 1 });
         if pressure > 1.0 && rested {
             if gate.tries_cut {
-                // To what is handled, less a tenth to work off what waits.
-                gate.limit = Some(gate.handled.max(gate.best * 0.6) * 0.9);
+                // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
+                let part = (1.0 - 0.15 * pressure).clamp(0.5, 0.9);
+                gate.limit = Some(gate.handled.max(gate.best * 0.6) * part);
             }
             (gate.tries_cut, gate.changed) = (true, now);
         } else if pressure < 0.9 {
