--- a/src/logic.rs
+++ b/src/logic.rs
@@ -409,10 +409,12 @@
     }
 
     fn judge(&mut self) {
-        let (now, usual) = (self.now, self.usual());
+        let (now, usual, pressure) = (self.now, self.usual(), self.pressure());
+        let slow = self.slow();
         let mut soft = vec![Vec::new(); self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0)];
         for s in 0..self.nodes.len() {
             let full = self.ramp(s) >= 1.0;
+            self.nodes[s].halved = false;
             let node = &mut self.nodes[s];
             // Half the tries failing is the design's mark; a server is never judged on what all suffer, so
             // it must also stand out from the usual. Eight tries are the least that tell half from few.
@@ -430,7 +432,9 @@
                     self.withdraw(s, true)
                 }
                 Standing::Unknown | Standing::Eligible | Standing::Ramping if failing => {
-                    soft[node.zone].push(s)
+                    soft[node.zone].push(s);
+                    // Failing, and slow in what it answers, is too much load and no fault: less weight.
+                    node.halved = node.times.count() >= 1.0 && node.times.mean() > slow;
                 }
                 Standing::Held if now >= node.since + Duration::from_secs(60) => {
                     node.enter(Standing::Withdrawn, now)
@@ -452,16 +456,14 @@
                 }
                 _ => {}
             }
-            self.nodes[s].halved = false;
         }
         for (zone, failing) in soft.into_iter().enumerate() {
             let ready = self.nodes.iter().filter(|n| n.zone == zone && n.ready()).count();
             let most = failing.len() * 2 > ready;
             for s in failing {
                 // Most of a zone failing together points at what they share: less weight, no withdrawal.
-                if most {
-                    self.nodes[s].halved = true;
-                } else {
+                self.nodes[s].halved |= most;
+                if !self.nodes[s].halved {
                     self.withdraw(s, false);
                 }
             }
@@ -560,14 +562,18 @@
         self.gates();
     }
 
+    /// The mean time, seconds, past which the slow tail begins to miss the soft limit: near half of it.
+    fn slow(&self) -> f64 {
+        let soft = (0..8).filter_map(|c| self.facts.number(&format!("class.{c}.soft_limit")));
+        0.45 * soft.fold(f64::INFINITY, f64::min)
+    }
+
     /// How hard pressed the servers in service are: above 1 is too hard.
     fn pressure(&self) -> f64 {
-        let soft = (0..8).filter_map(|c| self.facts.number(&format!("class.{c}.soft_limit")));
         let serving = || self.nodes.iter().filter(|n| n.in_service());
         let (tries, failed) = serving().fold((1.0, 0.0), |(t, f), n| (t + n.tries, f + n.failed));
-        // Near half the soft limit on average, the slow tail begins to pass it.
-        let slow = if self.gate.times.count() < 10.0 { 0.0 } else { self.gate.times.mean() / 0.45 };
-        (slow / soft.fold(f64::INFINITY, f64::min)).max(f64::from(failed / tries) / 0.15)
+        let slow = if self.gate.times.count() < 10.0 { 0.0 } else { self.gate.times.mean() / self.slow() };
+        slow.max(f64::from(failed / tries) / 0.15)
     }
 
     /// Under pressure further tries are cut first, and levels only when that does not help.
