--- a/src/logic.rs
+++ b/src/logic.rs
@@ -420,7 +420,8 @@
             // it must also stand out from the usual. Eight tries are the least that tell half from few.
             let failing = node.tries >= 8.0 && node.failed / node.tries > (2.0 * usual + 0.2).max(0.5);
             // Nothing but failures, so many in a row that chance gives them once in ten thousand times.
-            let patience = Duration::from_secs(if usual > 0.1 { 3 } else { 0 });
+            // A full server times out in a row as well, but something good still comes from it.
+            let patience = Duration::from_secs_f64(2.5 * pressure.clamp(1.0, 2.0));
             let dead =
                 node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && now >= node.good_at + patience;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
@@ -480,8 +481,8 @@
         node.enter(if node.withdrawals.len() >= 3 { Standing::Held } else { Standing::Withdrawn }, now);
         let (run, share) = (node.run, node.failed / node.tries.max(1.0));
         self.told.push(format!(
-            "{now:.1?} server {s} {:?}: {run} failed in a row, {share:.2} in all",
-            node.standing
+            "{now:.1?} server {s} {:?}: {run} failed in a row, {share:.2} in all, probes refused {}, unanswered {}",
+            node.standing, node.refused, node.unanswered
         ));
     }
 
