Ramp: the harder pressed the fleet, the warmer a server must be to be let in

Cause: with the others full and shunned, proxies heap what they have on a server that has just started, far past a tenth of its weight. Also holds against a zone that comes back at once; could hurt where only cold servers could relieve the rest.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -181,6 +181,7 @@
     handled: f64,
     best: f64,
     times: Times,
+    pressure: f64,
     sent: Vec<(Option<f64>, FurtherTries)>,
 }
 
@@ -409,7 +410,7 @@
     }
 
     fn judge(&mut self) {
-        let (now, usual, pressure) = (self.now, self.usual(), self.pressure());
+        let (now, usual, pressure) = (self.now, self.usual(), self.gate.pressure);
         let slow = self.slow();
         let mut soft = vec![Vec::new(); self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0)];
         for s in 0..self.nodes.len() {
@@ -499,7 +500,7 @@
         let fleet_low = share(&|_| true);
         let zones = self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0);
         let low: Vec<bool> = (0..zones).map(|z| share(&|n| n.zone == z)).collect();
-        let none = !self.nodes.iter().any(|n| n.in_service());
+        let none = !(0..self.nodes.len()).any(|s| self.nodes[s].in_service() && self.ramp(s) > 0.0);
         for node in self.nodes.iter_mut().filter(|n| n.ready() && !n.in_service()) {
             // Five seconds out, so that a dead server is not let in again at every look.
             let rested = now >= node.since + Duration::from_secs(5);
@@ -517,7 +518,15 @@
             // A cold server is both smaller and slower; its least capacity, squared, allows for both.
             let (from, warm) = (self.fact("cold.from", 0.1), self.fact("cold.warm_after", 20.0).max(0.1));
             let age = self.now.saturating_sub(started).as_secs_f64() / warm;
-            part = (from + (1.0 - from) * age).clamp(0.1, 1.0).powi(2).max(0.1);
+            let least = (from + (1.0 - from) * age).min(1.0);
+            part = least.powi(2).max(0.1);
+            // Where the others are full, proxies shun them and heap what they have on the fresh one. So the
+            // harder pressed the fleet, the warmer a server must be to be let in, and half that to stay.
+            let need =
+                self.gate.pressure.min(3.0) * if node.sent.is_some() && !node.out { 0.125 } else { 0.25 };
+            if least < need {
+                return 0.0;
+            }
         }
         if node.standing == Standing::Ramping {
             // The design's ramp: from a tenth to the full weight over ten seconds.
@@ -580,6 +589,7 @@
     /// Under pressure further tries are cut first, and levels only when that does not help.
     fn gates(&mut self) {
         let (now, pressure) = (self.now, self.pressure());
+        self.gate.pressure = pressure;
         let gate = &mut self.gate;
         gate.times.halve();
         gate.best = gate.handled.max(gate.best * 0.99);
@@ -695,11 +705,12 @@
             if room < (head + to_joined + to_bound + 2.0) * count {
                 break;
             }
-            if !node.in_service() && !node.out {
+            let open = node.in_service() && weight > 0.0;
+            if !open && !node.out {
                 node.out = true;
                 orders.push(Order::Withdraw { server: s, out: true });
                 to_joined += 1.0;
-            } else if node.in_service() && node.out {
+            } else if open && node.out {
                 (node.out, node.sent) = (false, Some(weight));
                 orders.push(Order::Line { table: SHARED, server: s, weight });
                 orders.push(Order::Withdraw { server: s, out: false });
@@ -714,7 +725,7 @@
             let ratio = weight / node.sent.unwrap_or(f64::MIN_POSITIVE);
             // A change of an eighth is under what reports tell; a halving can't wait.
             let due = node.sent.is_none() || ratio < 0.5 || (ordinary && !(0.88..1.13).contains(&ratio));
-            if node.in_service() && due {
+            if node.in_service() && weight > 0.0 && due {
                 node.sent = Some(weight);
                 orders.push(Order::Line { table: SHARED, server: s, weight });
                 to_bound += 1.0;
