--- a/src/logic.rs
+++ b/src/logic.rs
@@ -521,11 +521,9 @@
             let least = (from + (1.0 - from) * age).min(1.0);
             part = least.powi(2).max(0.1);
             // Where the others are full, proxies shun them and heap what they have on the fresh one. So the
-            // harder pressed the fleet, the warmer a server must be to be let in, and nearly
-            // as warm to stay. The first second or two are never worth it.
-            let open = node.sent.is_some() && !node.out;
-            let need = self.gate.pressure.min(3.0) * if open { 0.2 } else { 0.25 };
-            if least < need.max(if open { 0.0 } else { 0.3 }) {
+            // harder pressed the fleet, the warmer a server must be to be let in and to stay. The first second or two are never worth it.
+            let need = 0.2 * self.gate.pressure;
+            if age < 1.0 && least < need.max(if node.out || node.sent.is_none() { 0.3 } else { 0.0 }) {
                 return 0.0;
             }
         }
