Probes: every two seconds, and again at once when one stays unanswered

Silent servers leave two seconds sooner. Could hurt where probes are dear: a probe a server and two seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -224,8 +224,8 @@
         self.floor();
         if beat {
             self.gauge();
-            self.probe(&mut orders);
         }
+        self.probe(&mut orders);
         self.send(beat, &mut orders);
         orders.extend(self.told.drain(..).map(|text| Order::Log { text }));
         orders
@@ -653,13 +653,12 @@
         }
         let now = self.now;
         for (s, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| n.ready()) {
-            // Those in doubt are asked every two seconds, the rest every five: well under a hundredth of
-            // a server's work.
-            let doubt = !node.in_service() || node.standing == Standing::Unknown || node.run > 0.0;
-            let every = Duration::from_secs(if doubt || node.unanswered > 0 { 2 } else { 5 });
+            // Every two seconds, well under a hundredth of a server's work; after the first probe that
+            // stays without an answer, the next at once.
+            let every = Duration::from_secs(if node.in_service() && node.unanswered == 1 { 0 } else { 2 });
             if node.probed == Duration::ZERO {
-                // Spread over the first five seconds.
-                let spread = self.chance.as_mut().map_or(0, |c| c.generate_range(0..5000));
+                // Spread over the first two seconds.
+                let spread = self.chance.as_mut().map_or(0, |c| c.generate_range(0..2000));
                 node.probed = now.saturating_sub(Duration::from_millis(spread)).max(Duration::from_nanos(1));
             } else if now >= node.probed + every {
                 node.probed = now;
