Rewrite shorter; where no levels exist, the least class moves to a part of the fleet

Cause: valle has no levels, so one overload drowns every class and stays (late answers, repeats). Under pressure past 1.2 after further tries are cut, the class with the least payoff is bound to a second table of a part of the fleet, without cold servers, and back when both parts are at ease. The pressure's soft limit is now that of the classes as they come.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -287,8 +287,8 @@
             }
             Order::Clear { table } => Out::Truncate { planner, table },
             Order::Withdraw { server: s, out } => Out::Pull { planner, set: out, server: server(s)? },
-            Order::Bind { proxy, table } => {
-                Out::AttachTable { planner, edge: *self.proxies.outside(proxy)?, table, class_bits: 0 }
+            Order::Bind { proxy, table, classes } => {
+                Out::AttachTable { planner, edge: *self.proxies.outside(proxy)?, table, class_bits: classes }
             }
             Order::Level { table, class, level, tries } => Out::Throttle {
                 planner,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -208,10 +208,11 @@
         server: Server,
         out: bool,
     },
-    /// Puts a proxy on a table for all classes.
+    /// Puts a proxy on a table for some classes, a bit each; 0: for all.
     Bind {
         proxy: Proxy,
         table: Table,
+        classes: u64,
     },
     /// Sets the level of a class in a table and its further tries; no level: let all in.
     Level {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,15 +11,26 @@
 //! assert!(matches!(orders[..], [Order::Wake { .. }]));
 //! ```
 
-use crate::interface::{
-    Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order, Proxy, Server, Table, Zone,
-};
+use crate::interface::{Class, Proxy, Server, Table, Zone};
+use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
 use nanorand::{Rng, WyRand};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// The one table that every proxy is bound to. Any number would do.
-const SHARED: Table = 1;
+/// The table that every proxy is bound to, and the one for classes that are set apart. Any numbers do.
+const TABLES: [Table; 2] = [1, 2];
+
+const fn secs(n: u64) -> Duration {
+    Duration::from_secs(n)
+}
+
+/// The place `index` of a list that grows as indices come.
+fn at<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
+    if list.len() <= index {
+        list.resize_with(index + 1, T::default);
+    }
+    &mut list[index]
+}
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 enum Standing {
@@ -32,12 +43,13 @@
     /// In service on a growing part of its weight.
     Ramping,
     Withdrawn,
-    /// Out, and seen to be well since it entered this standing.
+    /// Out, and nothing bad seen since it entered this standing.
     Probation,
-    /// Out for long after withdrawals in a row.
+    /// Out for long, after withdrawals in a row.
     Held,
     Draining,
 }
+use Standing::*;
 
 /// A small histogram of times: bins doubling from 20 ms, which spans the times of any query that has a
 /// limit of seconds. A value is split between its two neighbours, so that the mean stays true.
@@ -78,15 +90,16 @@
     /// The decaying score: tries and failed tries, halved together.
     tries: f32,
     failed: f32,
-    /// Failed tries since the last good one.
+    /// Failed tries since the last good one, and when that was heard of.
     run: f32,
     good_at: Duration,
+    heard: Duration,
     /// Good answers a second, by zone of the proxies.
     flow: Vec<f64>,
+    /// What its queries took, waiting included; what it says that they take; how busy it says it is.
     times: Times,
     work: Times,
     busy: f32,
-    heard: Duration,
     /// Reports until then may still speak of the process before.
     deaf_until: Duration,
     refused: bool,
@@ -98,27 +111,28 @@
     withdrawals: VecDeque<Duration>,
     /// Its own swiftness against what the list says, 1 where nothing is known.
     swift: f64,
-    /// The weight in the shared table.
-    sent: Option<f64>,
-    /// Shut out by a withdrawal that was sent.
+    /// For the classes set apart.
+    apart: bool,
+    /// Its weight in each table, and whether it is shut out, as sent.
+    sent: [Option<f64>; 2],
     out: bool,
 }
 
 impl Node {
     fn in_service(&self) -> bool {
-        matches!(self.standing, Standing::Unknown | Standing::Eligible | Standing::Ramping)
+        matches!(self.standing, Unknown | Eligible | Ramping)
     }
 
     fn ready(&self) -> bool {
-        !matches!(self.standing, Standing::Unlisted | Standing::Draining)
+        !matches!(self.standing, Unlisted | Draining)
     }
 
     fn enter(&mut self, standing: Standing, now: Duration) {
         (self.standing, self.since) = (standing, now);
-        if standing == Standing::Ramping {
+        if standing == Ramping {
             // What was held against it belongs to the time before.
             (self.tries, self.failed, self.run, self.unanswered) = (0.0, 0.0, 0.0, 0);
-            (self.refused, self.hard, self.halved) = (false, false, false);
+            (self.refused, self.hard) = (false, false);
         }
     }
 }
@@ -126,7 +140,8 @@
 #[derive(Debug, Default)]
 struct Joined {
     here: bool,
-    bound: bool,
+    /// The classes set apart there, a bit each, once it is bound.
+    bound: Option<u64>,
     /// Queries a second that came, by class.
     came: Vec<f64>,
     /// When it was sent messages of late.
@@ -142,7 +157,7 @@
     awaited: BTreeSet<Proxy>,
 }
 
-/// The way to the proxies; the only place that knows what was sent.
+/// What is on its way to the proxies.
 #[derive(Debug, Default)]
 struct Channel {
     flying: VecDeque<Flying>,
@@ -158,30 +173,33 @@
     fn applied(&mut self, proxy: Proxy, mark: u16) {
         if let Some(place) = self.flying.iter().position(|f| f.mark == mark) {
             self.flying.drain(..place);
-            self.dropped(proxy, |f| f.mark == mark);
+            self.flying[0].awaited.remove(&proxy);
+            self.flying.retain(|f| !f.awaited.is_empty());
         }
     }
 
-    fn dropped(&mut self, proxy: Proxy, of: impl Fn(&Flying) -> bool) {
-        for f in self.flying.iter_mut().filter(|f| of(f)) {
-            f.awaited.remove(&proxy);
-        }
+    fn left(&mut self, proxy: Proxy) {
+        self.flying.iter_mut().for_each(|f| _ = f.awaited.remove(&proxy));
         self.flying.retain(|f| !f.awaited.is_empty());
     }
 }
 
-/// How much is let in.
+/// How much is let in, and for whom.
 #[derive(Debug, Default)]
 struct Gate {
-    /// Queries a second over all proxies and classes; `None`: all.
-    limit: Option<f64>,
-    tries_cut: bool,
-    changed: Duration,
+    /// How hard pressed the fleet is, and the part of it for classes set apart: above 1 is too hard.
+    pressure: [f64; 2],
+    times: [Times; 2],
     /// Good answers a second, and the most of late.
     handled: f64,
     best: f64,
-    times: Times,
-    pressure: f64,
+    tries_cut: bool,
+    changed: Duration,
+    /// Queries a second over all proxies and classes; `None`: all.
+    limit: Option<f64>,
+    /// Classes set apart, a bit each, and the part of the fleet that they have.
+    apart: u64,
+    part: f64,
     sent: Vec<(Option<f64>, FurtherTries)>,
 }
 
@@ -208,21 +226,17 @@
     pub fn decide(&mut self, now: Duration, happened: &[Event]) -> Vec<Order> {
         self.now = now;
         let mut orders = Vec::new();
-        for event in happened {
-            self.note(event, &mut orders);
-        }
+        happened.iter().for_each(|event| self.note(event, &mut orders));
         if self.chance.is_none() {
             return orders;
         }
+        // Once a second, as the design has it.
         let beat = now >= self.next_beat;
-        if beat {
-            // Once a second, as the design has it.
-            self.next_beat = now + Duration::from_secs(1);
-            self.measure();
-        }
         self.judge();
         self.floor();
         if beat {
+            self.next_beat = now + secs(1);
+            self.weigh();
             self.gauge();
         }
         self.probe(&mut orders);
@@ -235,102 +249,75 @@
         self.facts.number(name).unwrap_or(cautious)
     }
 
-    fn wake(&mut self, orders: &mut Vec<Order>) {
-        self.token += 1;
-        // Four looks a beat: what waits for room in the channel goes out soon after there is some.
-        orders.push(Order::Wake { after: Duration::from_millis(250), token: self.token });
-    }
-
-    fn node(&mut self, server: Server) -> &mut Node {
-        if self.nodes.len() <= server {
-            self.nodes.resize_with(server + 1, Node::default);
-        }
-        &mut self.nodes[server]
-    }
-
-    fn proxy(&mut self, proxy: Proxy) -> &mut Joined {
-        if self.proxies.len() <= proxy {
-            self.proxies.resize_with(proxy + 1, Joined::default);
-        }
-        &mut self.proxies[proxy]
-    }
-
     fn note(&mut self, event: &Event, orders: &mut Vec<Order>) {
         let now = self.now;
         match event {
             Event::Start { seed, facts } => {
                 *self = Planner { now, facts: facts.clone(), ..Planner::default() };
                 self.chance = Some(WyRand::new_seed(*seed));
-                self.wake(orders);
+                self.note(&Event::Woken { token: 0 }, orders);
                 if facts.text("list.mode") == "subscribe" {
                     orders.push(Order::Subscribe { on: true });
                 }
             }
             Event::Listed { how: Listing::Failed, .. } => orders.push(Order::Subscribe { on: true }),
             Event::Listed { how, entries } => self.list(*how, entries),
-            Event::Joined { proxy, .. } => *self.proxy(*proxy) = Joined { here: true, ..Joined::default() },
+            Event::Joined { proxy, .. } => {
+                *at(&mut self.proxies, *proxy) = Joined { here: true, ..Joined::default() }
+            }
             Event::Left { proxy } => {
-                *self.proxy(*proxy) = Joined::default();
-                self.channel.dropped(*proxy, |_| true);
+                *at(&mut self.proxies, *proxy) = Joined::default();
+                self.channel.left(*proxy);
             }
             Event::Applied { proxy, mark, .. } => self.channel.applied(*proxy, *mark),
             Event::Met { zone, server, tries, failed, took, span, load } => {
-                let good = tries.saturating_sub(*failed) as f32;
-                let took = took.as_secs_f64();
-                if good > 0.0 && took > 0.0 {
-                    self.gate.times.add(took, good);
-                }
                 self.loaded(*server, load);
-                let node = self.node(*server);
+                let (good, took) = (tries.saturating_sub(*failed) as f32, took.as_secs_f64());
+                let node = at(&mut self.nodes, *server);
                 node.heard = now;
-                if node.flow.len() <= *zone {
-                    node.flow.resize(*zone + 1, 0.0);
-                }
                 // By the span that a line covers: lines come late and in bursts.
-                node.flow[*zone] += (f64::from(good) / span.as_secs_f64().max(0.1) - node.flow[*zone]) * 0.5;
+                let flow = at(&mut node.flow, *zone);
+                *flow += (f64::from(good) / span.as_secs_f64().max(0.1) - *flow) * 0.5;
                 if now < node.deaf_until {
                     return;
                 }
-                node.tries += *tries as f32;
-                node.failed += *failed as f32;
-                node.run = if good > 0.0 { 0.0 } else { node.run + *failed as f32 };
+                (node.tries, node.failed) = (node.tries + *tries as f32, node.failed + *failed as f32);
+                node.run += *failed as f32;
                 if good > 0.0 {
-                    node.good_at = now;
-                }
-                if good > 0.0 && took > 0.0 {
+                    (node.run, node.good_at) = (0.0, now);
                     node.times.add(took, good);
+                    self.gate.times[usize::from(node.apart)].add(took, good);
                 }
             }
             Event::Came { proxy, class, queries, span, .. } => {
-                let pace = *queries as f64 / span.as_secs_f64().max(0.1);
-                let came = &mut self.proxy(*proxy).came;
-                if came.len() <= *class {
-                    came.resize(*class + 1, pace);
-                }
-                came[*class] += (pace - came[*class]) * 0.5;
+                let came = at(&mut at(&mut self.proxies, *proxy).came, *class);
+                *came += (*queries as f64 / span.as_secs_f64().max(0.1) - *came) * 0.5;
             }
             Event::Probed { server, found, load, .. } => {
                 self.loaded(*server, load);
-                let node = self.node(*server);
+                let node = at(&mut self.nodes, *server);
                 match found {
                     Found::Handled => {
                         (node.unanswered, node.refused) = (0, false);
-                        if node.standing == Standing::Withdrawn {
-                            node.enter(Standing::Probation, now);
+                        if node.standing == Withdrawn {
+                            node.enter(Probation, now);
                         }
                     }
                     Found::NoConnection => node.refused = true,
                     Found::NoAnswer => node.unanswered += 1,
                     Found::Failed => (node.tries, node.failed) = (node.tries + 1.0, node.failed + 1.0),
                     // Too many probes, or draining: no word on its health.
-                    Found::TurnedAway | Found::Nothing => {}
+                    Found::TurnedAway | Found::Nothing => return,
                 }
-                let bad = matches!(found, Found::NoConnection | Found::NoAnswer | Found::Failed);
-                if bad && node.standing == Standing::Probation {
-                    node.enter(Standing::Withdrawn, now);
+                if *found != Found::Handled && node.standing == Probation {
+                    node.enter(Withdrawn, now);
                 }
             }
-            Event::Woken { token } if *token == self.token => self.wake(orders),
+            Event::Woken { token } if *token == self.token => {
+                self.token += 1;
+                // Four looks a beat: what waits for room in the channel goes out soon after there is some.
+                orders.push(Order::Wake { after: Duration::from_millis(250), token: self.token });
+            }
             _ => {}
         }
     }
@@ -338,152 +325,113 @@
     /// Keeps the parts of a load report that the weights use.
     fn loaded(&mut self, server: Server, load: &[f64]) {
         for (k, &value) in load.iter().enumerate().filter(|(_, v)| v.is_finite() && **v > 0.0) {
+            let node = at(&mut self.nodes, server);
             match self.facts.text(&format!("load.{k}")) {
-                "busy" => {
-                    let busy = &mut self.node(server).busy;
-                    *busy += (value as f32 - *busy) * if *busy > 0.0 { 0.2 } else { 1.0 };
-                }
-                "work_time" => self.node(server).work.add(value / 1000.0, 1.0),
+                "busy" => node.busy += (value as f32 - node.busy) * if node.busy > 0.0 { 0.2 } else { 1.0 },
+                "work_time" => node.work.add(value / 1000.0, 1.0),
                 _ => {}
             }
         }
     }
 
     fn list(&mut self, how: Listing, entries: &[Entry]) {
-        let now = self.now;
-        let named: BTreeSet<Server> = entries.iter().map(|e| e.server).collect();
+        let (now, first) = (self.now, !self.listed_once);
+        self.listed_once = true;
         for e in entries {
-            let first = !self.listed_once;
-            let node = self.node(e.server);
+            let node = at(&mut self.nodes, e.server);
             (node.zone, node.kind) = (e.zone, e.kind);
             node.listed = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
-            let restarted = e.started > node.started;
             match e.mode {
-                Mode::Draining => node.enter(Standing::Draining, now),
-                Mode::Gone => node.enter(Standing::Unlisted, now),
-                Mode::Ready if node.ready() && !restarted => {}
+                Mode::Draining => node.enter(Draining, now),
+                Mode::Gone => node.enter(Unlisted, now),
+                Mode::Ready if node.ready() && e.started <= node.started => {}
                 Mode::Ready => {
                     // A new process. Reports on the one before still come in, up to about this late.
-                    if node.standing != Standing::Unlisted || node.out {
-                        node.deaf_until = now + Duration::from_secs(2);
-                    }
+                    node.deaf_until = if first { now } else { now + secs(2) };
+                    // On the first list an old server is in full service: all would ramp alike.
                     let old = first && e.started.is_none();
-                    node.enter(if old { Standing::Eligible } else { Standing::Ramping }, now);
-                    (node.swift, node.heard) = (1.0, now);
+                    node.enter(if old { Eligible } else { Ramping }, now);
+                    (node.swift, node.heard, node.good_at) = (1.0, now, now);
                     (node.times, node.work, node.busy) = Default::default();
-                    node.started = e.started.or(if first { None } else { Some(now) });
+                    node.started = if old { None } else { e.started.or(Some(now)) };
                 }
             }
         }
         if how != Listing::Changes {
+            let named: BTreeSet<Server> = entries.iter().map(|e| e.server).collect();
             for (_, node) in self.nodes.iter_mut().enumerate().filter(|(s, _)| !named.contains(s)) {
-                node.enter(Standing::Unlisted, now);
+                node.enter(Unlisted, now);
             }
         }
-        self.listed_once = true;
-    }
-
-    /// Once a beat: what is handled now; what is measured is halved.
-    fn measure(&mut self) {
-        for node in self.nodes.iter_mut().filter(|n| self.now >= n.heard + Duration::from_secs(3)) {
-            node.flow.clear();
-        }
-        self.gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
-        // Three seconds hold some tens of tries at a server that gets a few a second.
-        if self.now < self.halved_at + Duration::from_secs(3) {
-            return;
-        }
-        self.halved_at = self.now;
-        for node in &mut self.nodes {
-            (node.tries, node.failed) = (node.tries * 0.5, node.failed * 0.5);
-            node.times.halve();
-            node.work.halve();
-        }
     }
 
-    /// The usual share of failed tries: the middle one of the servers in service.
-    fn usual(&self) -> f32 {
-        let heard = self.nodes.iter().filter(|n| n.in_service() && n.tries >= 2.0);
+    fn judge(&mut self) {
+        let (now, slow, pressure) = (self.now, self.slow(), self.gate.pressure[0]);
+        // The usual share of failed tries: the middle one of the servers in service.
+        let heard = self.nodes.iter().filter(|n| n.in_service() && !n.apart && n.tries >= 2.0);
         let mut shares: Vec<f32> = heard.map(|n| n.failed / n.tries).collect();
         shares.sort_by(f32::total_cmp);
-        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
-    }
-
-    fn judge(&mut self) {
-        let (now, usual, pressure) = (self.now, self.usual(), self.gate.pressure);
-        let slow = self.slow();
-        let mut soft = vec![Vec::new(); self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0)];
+        let usual = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
+        let mut failing = Vec::new();
         for s in 0..self.nodes.len() {
             let full = self.ramp(s) >= 1.0;
-            self.nodes[s].halved = false;
             let node = &mut self.nodes[s];
-            // Half the tries failing is the design's mark; a server is never judged on what all suffer, so
-            // it must also stand out from the usual. Eight tries are the least that tell half from few.
-            let failing = node.tries >= 8.0 && node.failed / node.tries > (2.0 * usual + 0.2).max(0.5);
+            node.halved = false;
             // Nothing but failures, so many in a row that chance gives them once in ten thousand times.
             // A full server times out in a row as well, but something good still comes from it.
-            let patience = Duration::from_secs_f64(2.5 * pressure.clamp(1.0, 2.0));
-            let dead =
-                node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && now >= node.good_at + patience;
+            let quiet = now.saturating_sub(node.good_at).as_secs_f64() / pressure.clamp(1.0, 2.0);
+            let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && quiet >= 2.5;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
-            let quiet = now >= node.good_at + Duration::from_millis(1500);
-            let gone =
-                node.refused || (quiet && node.unanswered as f32 + node.run >= 2.0 && node.unanswered > 0);
+            let doubts = if node.unanswered > 0 { node.unanswered as f32 + node.run } else { 0.0 };
+            let heard = now < node.heard + secs(3);
+            let waited = now.saturating_sub(node.since);
             match node.standing {
-                Standing::Unknown | Standing::Eligible | Standing::Ramping if dead || gone => {
+                _ if node.in_service() && (dead || node.refused || (doubts >= 2.0 && quiet >= 1.5)) => {
                     self.withdraw(s, true)
                 }
-                Standing::Unknown | Standing::Eligible | Standing::Ramping if failing => {
-                    soft[node.zone].push(s);
+                // Half the tries failing is the design's mark; a server is never judged on what all suffer,
+                // so it must stand out from the usual too. Eight tries are the least to tell half from few.
+                _ if node.in_service()
+                    && node.tries >= 8.0
+                    && node.failed / node.tries > (2.0 * usual + 0.2).max(0.5) =>
+                {
+                    failing.push(s);
                     // Failing, and slow in what it answers, is too much load and no fault: less weight.
-                    node.halved = node.times.count() >= 1.0 && node.times.mean() > slow;
-                }
-                Standing::Held if now >= node.since + Duration::from_secs(60) => {
-                    node.enter(Standing::Withdrawn, now)
+                    node.halved = node.apart || (node.times.count() >= 1.0 && node.times.mean() > slow);
                 }
+                Held if waited >= secs(60) => node.enter(Withdrawn, now),
                 // With probes, one that was handled opens the probation.
-                Standing::Withdrawn if !self.facts.flag("probes.allowed") => {
-                    node.enter(Standing::Probation, now)
-                }
+                Withdrawn if !self.facts.flag("probes.allowed") => node.enter(Probation, now),
                 // The design's ten seconds.
-                Standing::Probation if now >= node.since + Duration::from_secs(10) => {
-                    node.enter(Standing::Ramping, now)
-                }
-                Standing::Ramping if full => node.standing = Standing::Eligible,
-                Standing::Eligible if now >= node.heard + Duration::from_secs(3) => {
-                    node.standing = Standing::Unknown
-                }
-                Standing::Unknown if now < node.heard + Duration::from_secs(3) => {
-                    node.standing = Standing::Eligible
-                }
+                Probation if waited >= secs(10) => node.enter(Ramping, now),
+                Ramping if full => node.standing = Eligible,
+                Eligible if !heard => node.standing = Unknown,
+                Unknown if heard => node.standing = Eligible,
                 _ => {}
             }
         }
-        for (zone, failing) in soft.into_iter().enumerate() {
+        for &s in &failing {
+            let zone = self.nodes[s].zone;
+            let together = failing.iter().filter(|f| self.nodes[**f].zone == zone).count();
             let ready = self.nodes.iter().filter(|n| n.zone == zone && n.ready()).count();
-            let most = failing.len() * 2 > ready;
-            for s in failing {
-                // Most of a zone failing together points at what they share: less weight, no withdrawal.
-                self.nodes[s].halved |= most;
-                if !self.nodes[s].halved {
-                    self.withdraw(s, false);
-                }
+            // Most of a zone failing together points at what they share: less weight, no withdrawal.
+            self.nodes[s].halved |= together * 2 > ready;
+            if !self.nodes[s].halved {
+                self.withdraw(s, false);
             }
         }
     }
 
     fn withdraw(&mut self, s: Server, hard: bool) {
-        let now = self.now;
-        let node = &mut self.nodes[s];
+        let (now, node) = (self.now, &mut self.nodes[s]);
         node.hard = hard;
         node.withdrawals.push_back(now);
         // Three in sixty seconds, as the design has it.
-        node.withdrawals.retain(|at| now < *at + Duration::from_secs(60));
-        node.enter(if node.withdrawals.len() >= 3 { Standing::Held } else { Standing::Withdrawn }, now);
-        let (run, share) = (node.run, node.failed / node.tries.max(1.0));
+        node.withdrawals.retain(|at| now < *at + secs(60));
+        node.enter(if node.withdrawals.len() >= 3 { Held } else { Withdrawn }, now);
         self.told.push(format!(
-            "{now:.1?} server {s} {:?}: {run} failed in a row, {share:.2} in all, probes refused {}, unanswered {}",
-            node.standing, node.refused, node.unanswered
+            "server {s} {:?}: {:.0} of {:.0} failed, {} in a row; probes: refused {}, unanswered {}",
+            node.standing, node.failed, node.tries, node.run, node.refused, node.unanswered
         ));
     }
 
@@ -491,21 +439,19 @@
     /// nothing good at all stay out while half of the whole fleet is in service: returned, a dead zone
     /// would only take queries from the living ones.
     fn floor(&mut self) {
-        let now = self.now;
-        let share = |of: &dyn Fn(&Node) -> bool| {
-            let ready = self.nodes.iter().filter(|n| n.ready() && of(n)).count();
-            let serving = self.nodes.iter().filter(|n| n.in_service() && of(n)).count();
-            serving * 2 < ready
+        let low = |of: &dyn Fn(&&Node) -> bool| {
+            let ready = self.nodes.iter().filter(|n| n.ready()).filter(of);
+            let (all, serving) = ready.fold((0, 0), |(a, s), n| (a + 1, s + usize::from(n.in_service())));
+            serving * 2 < all
         };
-        let fleet_low = share(&|_| true);
-        let zones = self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0);
-        let low: Vec<bool> = (0..zones).map(|z| share(&|n| n.zone == z)).collect();
+        let fleet_low = low(&|_| true);
+        let lows: Vec<bool> = self.nodes.iter().map(|node| low(&|n| n.zone == node.zone)).collect();
         let none = !(0..self.nodes.len()).any(|s| self.nodes[s].in_service() && self.ramp(s) > 0.0);
-        for node in self.nodes.iter_mut().filter(|n| n.ready() && !n.in_service()) {
+        for (node, low) in self.nodes.iter_mut().zip(lows).filter(|(n, _)| n.ready() && !n.in_service()) {
             // Five seconds out, so that a dead server is not let in again at every look.
-            let rested = now >= node.since + Duration::from_secs(5);
-            if none || (rested && if node.hard { fleet_low } else { low[node.zone] || fleet_low }) {
-                node.enter(Standing::Ramping, now);
+            let rested = self.now >= node.since + secs(5);
+            if none || (rested && (fleet_low || (low && !node.hard))) {
+                node.enter(Ramping, self.now);
             }
         }
     }
@@ -521,16 +467,16 @@
             let least = (from + (1.0 - from) * age).min(1.0);
             part = least.powi(2).max(0.1);
             // Where the others are full, proxies shun them and heap what they have on the fresh one. So the
-            // harder pressed the fleet, the warmer a server must be to be let in and to stay. The first second or two are never worth it.
-            let need = 0.2 * self.gate.pressure;
-            if age < 1.0 && least < need.max(if node.out || node.sent.is_none() { 0.3 } else { 0.0 }) {
+            // harder pressed the fleet, the warmer a server must be to be let in, and to stay. Its first
+            // second or two are never worth it.
+            let new = node.out || node.sent == [None, None];
+            if age < 1.0 && least < (0.2 * self.gate.pressure[0]).max(if new { 0.4 } else { 0.0 }) {
                 return 0.0;
             }
         }
-        if node.standing == Standing::Ramping {
+        if node.standing == Ramping {
             // The design's ramp: from a tenth to the full weight over ten seconds.
-            let age = self.now.saturating_sub(node.since).as_secs_f64() / 10.0;
-            part = part.min(0.1 + 0.9 * age);
+            part = part.min(0.1 + 0.09 * self.now.saturating_sub(node.since).as_secs_f64());
         }
         part
     }
@@ -540,64 +486,109 @@
         node.listed * node.swift * self.ramp(s) * if node.halved { 0.5 } else { 1.0 }
     }
 
-    /// Once a beat: how swift each server is against its kind, and how much the fleet can take.
-    fn gauge(&mut self) {
-        // The best evidence that there is: tries against how busy they kept it, which needs no one else's
-        // tries; the server's own time for a query; else what its queries took, waiting included.
+    /// Once a beat: how swift each server is against what the list says of it. The best evidence is how
+    /// busy its tries keep it, if no one else's do; then its own time for a query; else, against its kind,
+    /// what its queries took, waiting included.
+    fn weigh(&mut self) {
         let alone = self.fact("planners", 1.0) <= 1.0;
-        let kinds = self.nodes.iter().map(|n| n.kind + 1).max().unwrap_or(0);
-        for kind in 0..kinds {
-            let mut seen: Vec<(Server, f64, bool)> = Vec::new();
-            for (s, n) in self.nodes.iter().enumerate().filter(|(_, n)| n.in_service()) {
-                let idle = n.tries < 8.0 || n.standing == Standing::Ramping;
-                if alone && n.busy > 0.05 && kind == 0 && !idle {
-                    seen.push((s, n.listed * f64::from(n.busy / n.tries), true));
-                } else if alone && n.busy > 0.05 || n.kind != kind {
-                } else if n.work.count() >= 4.0 {
-                    seen.push((s, n.listed * n.work.mean(), true));
-                } else if n.times.count() >= 8.0 {
-                    seen.push((s, n.times.mean(), false));
+        let mut seen: Vec<Vec<(Server, f64, bool)>> = Vec::new();
+        for (s, n) in self.nodes.iter().enumerate().filter(|(_, n)| n.in_service()) {
+            let kind = n.kind + 1;
+            if alone && n.busy > 0.05 {
+                if n.tries >= 8.0 && n.standing != Ramping {
+                    at(&mut seen, 0).push((s, n.listed * f64::from(n.busy / n.tries), true));
                 }
+            } else if n.work.count() >= 4.0 {
+                at(&mut seen, kind).push((s, n.listed * n.work.mean(), true));
+            } else if n.times.count() >= 8.0 {
+                at(&mut seen, kind).push((s, n.times.mean(), false));
             }
-            let mean = seen.iter().map(|(_, t, _)| t.ln()).sum::<f64>() / seen.len().max(1) as f64;
-            for (s, time, direct) in seen {
+        }
+        for peers in seen {
+            let mean = peers.iter().map(|(_, t, _)| t.ln()).sum::<f64>() / peers.len().max(1) as f64;
+            for (s, time, direct) in peers {
                 let swift = &mut self.nodes[s].swift;
                 let lag = (mean - time.ln()).clamp(-1.0, 1.0);
                 // Small steps: reports are seconds late, and a step is felt before it is seen.
-                let goal = if direct { lag.exp() } else { *swift * lag.exp() };
-                *swift = (*swift * (goal / *swift).powf(if direct { 0.3 } else { 0.1 })).clamp(0.4, 2.0);
+                let step = if direct { (lag - swift.ln()) * 0.3 } else { lag * 0.1 };
+                *swift = (*swift * step.exp()).clamp(0.4, 2.0);
             }
         }
-        self.gates();
+        // Three seconds hold some tens of tries at a server that gets a few a second.
+        let halve = self.now >= self.halved_at + secs(3);
+        for node in &mut self.nodes {
+            if halve {
+                (node.tries, node.failed) = (node.tries * 0.5, node.failed * 0.5);
+                node.times.halve();
+                node.work.halve();
+            }
+            if self.now >= node.heard + secs(3) {
+                node.flow.clear();
+            }
+        }
+        self.halved_at = if halve { self.now } else { self.halved_at };
     }
 
-    /// The mean time, seconds, past which the slow tail begins to miss the soft limit: near half of it.
-    fn slow(&self) -> f64 {
-        let soft = (0..8).filter_map(|c| self.facts.number(&format!("class.{c}.soft_limit")));
-        0.45 * soft.fold(f64::INFINITY, f64::min)
+    /// The classes by payoff, and among equals the one that can wait least first.
+    fn classes(&self) -> Vec<Class> {
+        let key = |c: Class, name: &str| self.fact(&format!("class.{c}.{name}"), 1.0);
+        let mut classes: Vec<Class> = (0..self.fact("classes", 0.0) as usize).collect();
+        classes.sort_by(|&a, &b| {
+            let soft = key(a, "soft_limit").total_cmp(&key(b, "soft_limit"));
+            key(b, "payoff").total_cmp(&key(a, "payoff")).then(soft)
+        });
+        classes
     }
 
-    /// How hard pressed the servers in service are: above 1 is too hard.
-    fn pressure(&self) -> f64 {
-        let serving = || self.nodes.iter().filter(|n| n.in_service());
-        let (tries, failed) = serving().fold((1.0, 0.0), |(t, f), n| (t + n.tries, f + n.failed));
-        let slow = if self.gate.times.count() < 10.0 { 0.0 } else { self.gate.times.mean() / self.slow() };
-        slow.max(f64::from(failed / tries) / 0.15)
+    /// The mean time, seconds, past which the slow tail begins to miss the soft limit: near half of it,
+    /// over the classes as they come.
+    fn slow(&self) -> f64 {
+        let (mut sum, mut all) = (0.0, 0.0);
+        for class in self.classes() {
+            let came: f64 = self.proxies.iter().filter_map(|p| p.came.get(class)).sum::<f64>() + 1e-6;
+            sum += came * self.fact(&format!("class.{class}.soft_limit"), 1.0);
+            all += came;
+        }
+        if all > 0.0 {
+            0.45 * sum / all
+        } else {
+            f64::INFINITY
+        }
     }
 
-    /// Under pressure further tries are cut first, and levels only when that does not help.
-    fn gates(&mut self) {
-        let (now, pressure) = (self.now, self.pressure());
-        self.gate.pressure = pressure;
+    /// Once a beat: how hard pressed the fleet is. Then further tries are cut first, and levels, or the
+    /// room of the least classes, only when that does not help.
+    fn gauge(&mut self) {
+        let (now, slow, classes) = (self.now, self.slow(), self.classes());
+        let leveled = matches!(self.facts.text("levels.kind"), "pace" | "share");
         let gate = &mut self.gate;
-        gate.times.halve();
+        for (k, times) in gate.times.iter_mut().enumerate() {
+            let serving = self.nodes.iter().filter(|n| n.in_service() && n.apart == (k == 1));
+            let (tries, failed) = serving.fold((1.0, 0.0), |(t, f), n| (t + n.tries, f + n.failed));
+            let late = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
+            // More than one failed try in seven is more than a few servers' trouble.
+            gate.pressure[k] = late.max(f64::from(failed / tries) / 0.15);
+            times.halve();
+        }
+        let pressure = gate.pressure[0];
+        gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
         gate.best = gate.handled.max(gate.best * 0.99);
-        let rested = now >= gate.changed + Duration::from_secs(if gate.limit.is_some() { 2 } else { 1 });
+        let limited = gate.limit.is_some() || gate.apart != 0;
+        let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
         if pressure > 1.0 && rested {
-            if gate.tries_cut {
+            if gate.tries_cut && leveled {
                 // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
                 let part = (1.0 - 0.15 * pressure).clamp(0.5, 0.9);
                 gate.limit = Some(gate.handled.max(gate.best * 0.6) * part);
+            } else if gate.tries_cut && pressure > 1.2 {
+                // No levels here: the least class moves to a part of the fleet, then the next.
+                let next = classes.iter().skip(1).rev().find(|c| gate.apart >> **c & 1 == 0);
+                match next {
+                    Some(class) if gate.apart == 0 || gate.part < 0.15 => {
+                        (gate.apart, gate.part) = (gate.apart | 1 << class, 0.25)
+                    }
+                    _ => gate.part = (gate.part * 0.7).max(0.1),
+                }
             }
             (gate.tries_cut, gate.changed) = (true, now);
         } else if pressure < 0.9 {
@@ -605,33 +596,36 @@
             // The more room, the longer the step: a fleet at rest is let in within a few seconds.
             let step = 1.0 + 0.2 * (1.0 - pressure);
             gate.limit = gate.limit.map(|l| l * step).filter(|l| *l < came * 1.2);
+            gate.part = (gate.part * step).min(0.6);
+            // Together again once both parts are at ease.
+            if gate.pressure[1] < 0.9 && rested {
+                gate.apart = 0;
+            }
             // Tries come back last, five seconds after all is let in again.
-            gate.tries_cut &= gate.limit.is_some() || now < gate.changed + Duration::from_secs(5);
+            let open = gate.limit.is_none() && gate.apart == 0;
+            gate.tries_cut &= !open || now < gate.changed + secs(5);
         }
     }
 
     /// The level of each class and its further tries: the limit goes to the classes by payoff.
     fn levels(&self) -> Vec<(Option<f64>, FurtherTries)> {
-        let classes = self.fact("classes", 0.0) as usize;
-        let payoff = |c: &usize| self.fact(&format!("class.{c}.payoff"), 1.0);
-        let mut order: Vec<usize> = (0..classes).collect();
-        order.sort_by(|a, b| payoff(b).total_cmp(&payoff(a)));
         // One after proof that the first never ran is safe for every class; more is not.
         let tries = if self.gate.tries_cut { FurtherTries::None } else { FurtherTries::Unrun };
-        let mut levels = vec![(None, tries); classes];
+        let classes = self.classes();
+        let mut levels = vec![(None, tries); classes.len()];
         let Some(mut rest) = self.gate.limit else { return levels };
-        for class in order {
+        for class in classes {
             let here = self.proxies.iter().filter(|p| p.here);
             let mut came: Vec<f64> = here.filter_map(|p| p.came.get(class).copied()).collect();
             came.sort_by(f64::total_cmp);
             let all: f64 = came.iter().sum();
             let part = rest.max(all * 0.05);
-            if part < all && self.facts.text("levels.kind") == "share" {
-                levels[class].0 = Some(part / all);
-            } else if self.facts.text("levels.kind") == "pace" {
-                // Where all fits, room for a surge of a fifth, so that clients' repeats can't undo the cut.
+            if self.facts.text("levels.kind") == "share" {
+                levels[class].0 = Some(part / all).filter(|level| *level < 1.0);
+            } else {
+                // Where all fits, room for a surge of a fifth, so that clients' repeats can't undo the cut;
+                // else one pace for every proxy: it binds the busy ones until the sum fits.
                 levels[class].0 = came.last().map(|most| most * 1.2);
-                // One pace for every proxy: it binds the busy ones until the sum fits.
                 let mut left = part;
                 for (k, pace) in came.iter().enumerate() {
                     let even = left / (came.len() - k) as f64;
@@ -648,14 +642,11 @@
     }
 
     fn probe(&mut self, orders: &mut Vec<Order>) {
-        if !self.facts.flag("probes.allowed") {
-            return;
-        }
-        let now = self.now;
-        for (s, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| n.ready()) {
+        let (now, allowed) = (self.now, self.facts.flag("probes.allowed"));
+        for (s, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| allowed && n.ready()) {
             // Every two seconds, well under a hundredth of a server's work; after the first probe that
             // stays without an answer, the next at once.
-            let every = Duration::from_secs(if node.in_service() && node.unanswered == 1 { 0 } else { 2 });
+            let every = secs(if node.in_service() && node.unanswered == 1 { 0 } else { 2 });
             if node.probed == Duration::ZERO {
                 // Spread over the first two seconds.
                 let spread = self.chance.as_mut().map_or(0, |c| c.generate_range(0..2000));
@@ -667,117 +658,131 @@
         }
     }
 
+    /// Chooses the servers for the classes set apart: the first in service, up to their part.
+    fn part(&mut self) {
+        // Never a cold one, which the crowd would push over.
+        let open = |s: Server| self.nodes[s].in_service() && self.ramp(s) >= 1.0;
+        let weigh = |s| if open(s) { self.weight(s) } else { 0.0 };
+        let weights: Vec<f64> = (0..self.nodes.len()).map(weigh).collect();
+        let mut left = weights.iter().sum::<f64>() * self.gate.part;
+        for (node, weight) in self.nodes.iter_mut().zip(weights) {
+            node.apart = self.gate.apart != 0 && weight > 0.0 && left > 0.0;
+            left -= weight;
+        }
+    }
+
     /// Owns all orders to proxies: withdrawals first, then lines, levels and binds, as far as the channel
     /// and each proxy's count of messages allow.
     fn send(&mut self, beat: bool, orders: &mut Vec<Order>) {
         let now = self.now;
         // What no mark came back for in twenty seconds was lost with its stream.
-        self.channel.flying.retain(|f| now < f.at + Duration::from_secs(20));
-        let head = self.fact("channel.overhead", 10.0) + 1.0;
-        let backlog = self.fact("channel.backlog", 500.0);
-        let most = self.fact("channel.messages", 0.0);
-        let over = self.facts.span("channel.messages_over").unwrap_or(Duration::from_secs(10));
-        let joined: Vec<Proxy> = (0..self.proxies.len()).filter(|p| self.proxies[*p].here).collect();
-        if joined.is_empty() && !beat {
-            return;
-        }
+        self.channel.flying.retain(|f| now < f.at + secs(20));
+        let (most, over) = (self.fact("channel.messages", 0.0), self.facts.span("channel.messages_over"));
+        let over = over.unwrap_or(secs(10)) + Duration::from_millis(100);
         let mut spare = f64::INFINITY;
-        for p in &joined {
-            let messages = &mut self.proxies[*p].messages;
-            messages.retain(|at| now < *at + over + Duration::from_millis(100));
-            if most > 0.0 {
-                spare = spare.min(most - messages.len() as f64);
-            }
+        for proxy in self.proxies.iter_mut().filter(|p| p.here) {
+            proxy.messages.retain(|at| now < *at + over);
+            spare = if most > 0.0 { spare.min(most - proxy.messages.len() as f64) } else { spare };
         }
+        let joined: BTreeSet<Proxy> = (0..self.proxies.len()).filter(|p| self.proxies[*p].here).collect();
+        let (count, head) = (joined.len() as f64, self.fact("channel.overhead", 10.0) + 1.0);
         // Half the backlog stays free: marks come late, and a slow channel is seen late.
-        let mut room = backlog / 2.0 - self.channel.lines();
-        let (mut to_joined, mut to_bound) = (0.0, 0.0);
-        let count = joined.len() as f64;
-        if spare < 1.0 || room < head * count {
+        let free = self.fact("channel.backlog", 500.0) / 2.0 - self.channel.lines() - head * count;
+        if joined.is_empty() || spare < 1.0 || free < 0.0 {
             return;
         }
+        let mut room = free;
         // Two messages are kept back for what can't wait.
         let ordinary = beat && spare >= 3.0;
-        for s in 0..self.nodes.len() {
-            let (weight, node) = (self.weight(s), &mut self.nodes[s]);
-            if room < (head + to_joined + to_bound + 2.0) * count {
-                break;
-            }
+        if ordinary {
+            self.part();
+        }
+        let before = orders.len();
+        let weights: Vec<f64> = (0..self.nodes.len()).map(|s| self.weight(s)).collect();
+        for (s, &weight) in weights.iter().enumerate() {
+            let node = &mut self.nodes[s];
             let open = node.in_service() && weight > 0.0;
-            if !open && !node.out {
-                node.out = true;
-                orders.push(Order::Withdraw { server: s, out: true });
-                to_joined += 1.0;
-            } else if open && node.out {
-                (node.out, node.sent) = (false, Some(weight));
-                orders.push(Order::Line { table: SHARED, server: s, weight });
-                orders.push(Order::Withdraw { server: s, out: false });
-                (to_joined, to_bound) = (to_joined + 1.0, to_bound + 1.0);
+            if open == node.out && room >= 3.0 * count {
+                if open {
+                    node.apart = false;
+                    node.sent[0] = Some(weight);
+                    orders.push(Order::Line { table: TABLES[0], server: s, weight });
+                    if node.sent[1].take().is_some() {
+                        orders.push(Order::Line { table: TABLES[1], server: s, weight: 0.0 });
+                    }
+                }
+                node.out = !open;
+                orders.push(Order::Withdraw { server: s, out: !open });
+                room -= 3.0 * count;
             }
         }
-        for s in 0..self.nodes.len() {
-            let (weight, node) = (self.weight(s), &mut self.nodes[s]);
-            if room < (head + to_joined + to_bound + 1.0) * count {
-                break;
-            }
-            let ratio = weight / node.sent.unwrap_or(f64::MIN_POSITIVE);
-            // A change of an eighth is under what reports tell; a halving can't wait.
-            let due = node.sent.is_none() || ratio < 0.5 || (ordinary && !(0.88..1.13).contains(&ratio));
-            if node.in_service() && weight > 0.0 && due {
-                node.sent = Some(weight);
-                orders.push(Order::Line { table: SHARED, server: s, weight });
-                to_bound += 1.0;
-            } else if ordinary && node.standing == Standing::Unlisted && node.sent.take().is_some() {
-                orders.push(Order::Line { table: SHARED, server: s, weight: 0.0 });
-                to_bound += 1.0;
+        for (s, &weight) in weights.iter().enumerate() {
+            let node = &mut self.nodes[s];
+            let open = node.in_service() && weight > 0.0;
+            for (t, table) in TABLES.into_iter().enumerate() {
+                let mine = usize::from(node.apart) == t;
+                let ratio = weight / node.sent[t].unwrap_or(f64::MIN_POSITIVE);
+                // A change of an eighth is under what reports tell; a halving can't wait.
+                let due =
+                    node.sent[t].is_none() || ratio < 0.5 || (ordinary && !(0.88..1.13).contains(&ratio));
+                let dropped = node.standing == Unlisted || (open && !mine);
+                if open && mine && due && room >= count {
+                    node.sent[t] = Some(weight);
+                    orders.push(Order::Line { table, server: s, weight });
+                    room -= count;
+                } else if ordinary && dropped && room >= count && node.sent[t].take().is_some() {
+                    orders.push(Order::Line { table, server: s, weight: 0.0 });
+                    room -= count;
+                }
             }
         }
-        let levels = self.levels();
-        let default = (None, FurtherTries::None);
-        for (class, &(level, tries)) in levels.iter().enumerate().filter(|_| ordinary) {
-            let old = *self.gate.sent.get(class).unwrap_or(&default);
-            let moved = match (old.0, level) {
-                (Some(a), Some(b)) => !(0.93..1.07).contains(&(b / a)),
-                (a, b) => a != b,
+        for (class, (level, tries)) in self.levels().into_iter().enumerate().filter(|_| ordinary) {
+            let old = self.gate.sent.get(class).copied();
+            let near = |a: Option<f64>| match (a, level) {
+                (Some(a), Some(b)) => (0.93..1.07).contains(&(b / a)),
+                (a, b) => a == b,
             };
-            let fresh = self.gate.sent.len() <= class;
-            if (moved || fresh || old.1 != tries) && room >= (head + to_joined + to_bound + 1.0) * count {
-                if fresh {
-                    self.gate.sent.push(default);
+            if !old.is_some_and(|o| near(o.0) && o.1 == tries) && room >= 2.0 * count {
+                self.gate.sent.truncate(self.gate.sent.len().max(class));
+                if old.is_some() {
+                    self.gate.sent[class] = (level, tries);
+                } else if self.gate.sent.len() == class {
+                    self.gate.sent.push((level, tries));
                 }
-                self.gate.sent[class] = (level, tries);
-                orders.push(Order::Level { table: SHARED, class, level, tries });
-                to_bound += 1.0;
+                let all = TABLES.map(|table| Order::Level { table, class, level, tries });
+                orders.extend(all);
+                room -= 2.0 * count;
             }
         }
-        let mut reached = BTreeSet::new();
-        let mut lines = 0.0;
-        for &p in &joined {
-            let own = to_joined + if self.proxies[p].bound { to_bound } else { 0.0 };
-            if own > 0.0 {
-                reached.insert(p);
-                lines += own + head;
+        let everyone = orders.len() > before;
+        let lines = self.nodes.iter().flat_map(|n| n.sent).flatten().count() as f64;
+        let mut reached = if everyone { joined.clone() } else { BTreeSet::new() };
+        let apart = self.gate.apart;
+        let cost = 2.0 + 2.0 * lines + 2.0 * self.gate.sent.len() as f64;
+        for &p in joined.iter().filter(|_| lines > 0.0) {
+            let bound = self.proxies[p].bound;
+            if bound == Some(apart) || (bound.is_some() && !ordinary) || room < cost {
+                continue;
             }
-        }
-        room -= lines;
-        let table = self.nodes.iter().filter(|n| n.sent.is_some()).count() as f64;
-        let cost = head + 1.0 + 2.0 * table + self.fact("classes", 0.0);
-        for &p in joined.iter().filter(|_| table > 0.0) {
-            if !self.proxies[p].bound && room >= cost {
-                self.proxies[p].bound = true;
-                orders.push(Order::Bind { proxy: p, table: SHARED });
-                reached.insert(p);
-                room -= cost;
-                lines += cost;
+            // All classes at first; then those that changed sides.
+            if bound.unwrap_or(1) & !apart != 0 {
+                let classes = bound.map_or(0, |b| b & !apart);
+                orders.push(Order::Bind { proxy: p, table: TABLES[0], classes });
+            }
+            if apart & !bound.unwrap_or(0) != 0 {
+                let classes = apart & !bound.unwrap_or(0);
+                orders.push(Order::Bind { proxy: p, table: TABLES[1], classes });
             }
+            self.proxies[p].bound = Some(apart);
+            reached.insert(p);
+            room -= cost;
         }
         if !reached.is_empty() {
-            for p in &reached {
-                self.proxies[*p].messages.push_back(now);
-            }
+            reached.iter().for_each(|p| self.proxies[*p].messages.push_back(now));
             self.channel.mark = self.channel.mark.wrapping_add(1);
+            orders.push(Order::Mark { mark: self.channel.mark, everyone });
+            let lines = free - room + head * reached.len() as f64;
             let mark = self.channel.mark;
-            orders.push(Order::Mark { mark, everyone: false });
             self.channel.flying.push_back(Flying { mark, lines, at: now, awaited: reached });
         }
     }
