Judge: servers set apart are not withdrawn for failures, only by probes

Cause: the full servers of the part were withdrawn as dead and replaced by the next, so the part ate the fleet.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -380,7 +380,9 @@
             // Nothing but failures, so many in a row that chance gives them once in ten thousand times.
             // A full server times out in a row as well, but something good still comes from it.
             let quiet = now.saturating_sub(node.good_at).as_secs_f64() / pressure.clamp(1.0, 2.0);
-            let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && quiet >= 2.5;
+            let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4;
+            // Those set apart are meant to be full; only probes speak against them.
+            let dead = dead && quiet >= 2.5 && !node.apart;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
             let doubts = if node.unanswered > 0 { node.unanswered as f32 + node.run } else { 0.0 };
             let heard = now < node.heard + secs(3);
