--- a/src/logic.rs
+++ b/src/logic.rs
@@ -365,13 +365,17 @@
         }
     }
 
-    fn judge(&mut self) {
-        let (now, slow, pressure) = (self.now, self.slow(), self.gate.pressure[0]);
-        // The usual share of failed tries: the middle one of the servers in service.
-        let heard = self.nodes.iter().filter(|n| n.in_service() && !n.apart && n.tries >= 2.0);
+    /// The usual share of failed tries: that of the middle one of the servers in service.
+    fn usual(&self, apart: bool) -> f32 {
+        let heard = self.nodes.iter().filter(|n| n.in_service() && n.apart == apart && n.tries >= 2.0);
         let mut shares: Vec<f32> = heard.map(|n| n.failed / n.tries).collect();
         shares.sort_by(f32::total_cmp);
-        let usual = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
+        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
+    }
+
+    fn judge(&mut self) {
+        let (now, slow, pressure) = (self.now, self.slow(), self.gate.pressure[0]);
+        let usual = self.usual(false);
         let mut failing = Vec::new();
         for s in 0..self.nodes.len() {
             let full = self.ramp(s) >= 1.0;
@@ -563,13 +567,12 @@
     fn gauge(&mut self) {
         let (now, slow, classes) = (self.now, self.slow(), self.classes());
         let leveled = matches!(self.facts.text("levels.kind"), "pace" | "share");
+        let usual = [self.usual(false), self.usual(true)];
         let gate = &mut self.gate;
         for (k, times) in gate.times.iter_mut().enumerate() {
-            let serving = self.nodes.iter().filter(|n| n.in_service() && n.apart == (k == 1));
-            let (tries, failed) = serving.fold((1.0, 0.0), |(t, f), n| (t + n.tries, f + n.failed));
             let late = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
-            // More than one failed try in seven is more than a few servers' trouble.
-            gate.pressure[k] = late.max(f64::from(failed / tries) / 0.15);
+            // One failed try in seven at the middle server is no few servers' trouble.
+            gate.pressure[k] = late.max(f64::from(usual[k]) / 0.15);
             times.halve();
         }
         let pressure = gate.pressure[0];
@@ -607,6 +610,10 @@
             let open = gate.limit.is_none() && gate.apart == 0;
             gate.tries_cut &= !open || now < gate.changed + secs(5);
         }
+        self.told.push(format!(
+            "pressure {:.2?}, apart {:b} on {:.2}, tries cut {}, limit {:.0?} of {:.0} handled",
+            gate.pressure, gate.apart, gate.part, gate.tries_cut, gate.limit, gate.handled
+        ));
     }
 
     /// The level of each class and its further tries: the limit goes to the classes by payoff.
