--- a/src/logic.rs
+++ b/src/logic.rs
@@ -365,17 +365,13 @@
         }
     }
 
-    /// The usual share of failed tries: that of the middle one of the servers in service.
-    fn usual(&self, apart: bool) -> f32 {
-        let heard = self.nodes.iter().filter(|n| n.in_service() && n.apart == apart && n.tries >= 2.0);
-        let mut shares: Vec<f32> = heard.map(|n| n.failed / n.tries).collect();
-        shares.sort_by(f32::total_cmp);
-        shares.get(shares.len() / 2).copied().unwrap_or(0.0)
-    }
-
     fn judge(&mut self) {
         let (now, slow, pressure) = (self.now, self.slow(), self.gate.pressure[0]);
-        let usual = self.usual(false);
+        // The usual share of failed tries: the middle one of the servers in service.
+        let heard = self.nodes.iter().filter(|n| n.in_service() && !n.apart && n.tries >= 2.0);
+        let mut shares: Vec<f32> = heard.map(|n| n.failed / n.tries).collect();
+        shares.sort_by(f32::total_cmp);
+        let usual = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
         let mut failing = Vec::new();
         for s in 0..self.nodes.len() {
             let full = self.ramp(s) >= 1.0;
@@ -567,19 +563,29 @@
     fn gauge(&mut self) {
         let (now, slow, classes) = (self.now, self.slow(), self.classes());
         let leveled = matches!(self.facts.text("levels.kind"), "pace" | "share");
-        let usual = [self.usual(false), self.usual(true)];
         let gate = &mut self.gate;
         for (k, times) in gate.times.iter_mut().enumerate() {
+            let serving = self.nodes.iter().filter(|n| n.in_service() && n.apart == (k == 1));
+            let (tries, failed) = serving.fold((1.0, 0.0), |(t, f), n| (t + n.tries, f + n.failed));
             let late = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
-            // One failed try in seven at the middle server is no few servers' trouble.
-            gate.pressure[k] = late.max(f64::from(usual[k]) / 0.15);
+            // More than one failed try in seven is more than a few servers' trouble.
+            gate.pressure[k] = late.max(f64::from(failed / tries) / 0.15);
             times.halve();
         }
         let pressure = gate.pressure[0];
         gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
         gate.best = gate.handled.max(gate.best * 0.99);
         let limited = gate.limit.is_some() || gate.apart != 0;
-        let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
+        // What a change does is seen after the reports' delay and once the queues have run off.
+        let rested = now
+            >= gate.changed
+                + secs(if gate.apart != 0 {
+                    4
+                } else if limited {
+                    2
+                } else {
+                    1
+                });
         if pressure > 1.0 && rested {
             if gate.tries_cut && leveled {
                 // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
@@ -590,7 +596,8 @@
                 let next = classes.iter().skip(1).rev().find(|c| gate.apart >> **c & 1 == 0);
                 match next {
                     Some(class) if gate.apart == 0 || gate.part < 0.15 => {
-                        (gate.apart, gate.part) = (gate.apart | 1 << class, 0.25)
+                        gate.part = if gate.apart == 0 { 0.25 } else { 0.6 };
+                        gate.apart |= 1 << class;
                     }
                     _ => gate.part = (gate.part * 0.7).max(0.1),
                 }
@@ -601,7 +608,7 @@
             // The more room, the longer the step: a fleet at rest is let in within a few seconds.
             let step = 1.0 + 0.2 * (1.0 - pressure);
             gate.limit = gate.limit.map(|l| l * step).filter(|l| *l < came * 1.2);
-            gate.part = (gate.part * step).min(0.6);
+            gate.part = (gate.part * step).min(0.8);
             // Together again once both parts are at ease.
             if gate.pressure[1] < 0.9 && rested {
                 gate.apart = 0;
@@ -610,10 +617,6 @@
             let open = gate.limit.is_none() && gate.apart == 0;
             gate.tries_cut &= !open || now < gate.changed + secs(5);
         }
-        self.told.push(format!(
-            "pressure {:.2?}, apart {:b} on {:.2}, tries cut {}, limit {:.0?} of {:.0} handled",
-            gate.pressure, gate.apart, gate.part, gate.tries_cut, gate.limit, gate.handled
-        ));
     }
 
     /// The level of each class and its further tries: the limit goes to the classes by payoff.
