--- a/src/logic.rs
+++ b/src/logic.rs
@@ -591,7 +591,7 @@
                 // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
                 let part = (1.0 - 0.15 * pressure).clamp(0.5, 0.9);
                 gate.limit = Some(gate.handled.max(gate.best * 0.6) * part);
-            } else if gate.tries_cut && pressure > 1.2 {
+            } else if pressure > 1.1 {
                 // No levels here: the least class moves to a part of the fleet, then the next.
                 let next = classes.iter().skip(1).rev().find(|c| gate.apart >> **c & 1 == 0);
                 match next {
