--- a/src/logic.rs
+++ b/src/logic.rs
@@ -577,29 +577,20 @@
         gate.best = gate.handled.max(gate.best * 0.99);
         let limited = gate.limit.is_some() || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
-        let rested = now
-            >= gate.changed
-                + secs(if gate.apart != 0 {
-                    4
-                } else if limited {
-                    2
-                } else {
-                    1
-                });
+        let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
         if pressure > 1.0 && rested {
             if gate.tries_cut && leveled {
                 // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
                 let part = (1.0 - 0.15 * pressure).clamp(0.5, 0.9);
                 gate.limit = Some(gate.handled.max(gate.best * 0.6) * part);
-            } else if pressure > 1.1 {
-                // No levels here: the least class moves to a part of the fleet, then the next.
+            } else if gate.tries_cut && pressure > 1.1 {
+                // No levels here: the least class moves to a part of the fleet, in steps to a tenth; then
+                // the next class joins it, with most of the fleet.
                 let next = classes.iter().skip(1).rev().find(|c| gate.apart >> **c & 1 == 0);
-                match next {
-                    Some(class) if gate.apart == 0 || gate.part < 0.15 => {
-                        gate.part = if gate.apart == 0 { 0.25 } else { 0.6 };
-                        gate.apart |= 1 << class;
-                    }
-                    _ => gate.part = (gate.part * 0.7).max(0.1),
+                gate.part = (gate.part * 0.7).max(0.1);
+                if let Some(class) = next.filter(|_| gate.apart == 0 || gate.part <= 0.1) {
+                    gate.part = if gate.apart == 0 { 0.25 } else { 0.7 };
+                    gate.apart |= 1 << class;
                 }
             }
             (gate.tries_cut, gate.changed) = (true, now);
