--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod ids;
 pub mod interface;
 pub mod logic;
+mod state;
 
 pub use logic::Planner;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -11,10 +11,11 @@
 //! assert!(matches!(orders[..], [Order::Wake { .. }]));
 //! ```
 
-use crate::interface::{Class, Proxy, Server, Table, Zone};
+use crate::interface::{Class, Proxy, Server, Table};
 use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
+use crate::state::{at, Channel, Flying, Gate, Joined, Node, Standing::*};
 use nanorand::{Rng, WyRand};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// The table that every proxy is bound to, and the one for classes that are set apart. Any numbers do.
@@ -24,183 +25,13 @@
     Duration::from_secs(n)
 }
 
-/// The place `index` of a list that grows as indices come.
-fn at<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
-    if list.len() <= index {
-        list.resize_with(index + 1, T::default);
-    }
-    &mut list[index]
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-enum Standing {
-    /// Not on the list, or no longer.
-    #[default]
-    Unlisted,
-    /// In service, but nothing heard of late.
-    Unknown,
-    Eligible,
-    /// In service on a growing part of its weight.
-    Ramping,
-    Withdrawn,
-    /// Out, and nothing bad seen since it entered this standing.
-    Probation,
-    /// Out for long, after withdrawals in a row.
-    Held,
-    Draining,
+/// Times are kept on doubling bins from 20 ms, which spans any query that has a limit of seconds.
+fn place(seconds: f64) -> f64 {
+    (seconds / 0.02).max(1.0).log2()
 }
-use Standing::*;
-
-/// A small histogram of times: bins doubling from 20 ms, which spans the times of any query that has a
-/// limit of seconds. A value is split between its two neighbours, so that the mean stays true.
-#[derive(Debug, Clone, Default)]
-struct Times([f32; 10]);
-
-impl Times {
-    fn add(&mut self, took: f64, weight: f32) {
-        let place = (took / 0.02).max(1.0).log2().min(8.999);
-        let part = place.fract() as f32;
-        self.0[place as usize] += weight * (1.0 - part);
-        self.0[place as usize + 1] += weight * part;
-    }
 
-    fn halve(&mut self) {
-        self.0.iter_mut().for_each(|bin| *bin *= 0.5);
-    }
-
-    fn count(&self) -> f32 {
-        self.0.iter().sum()
-    }
-
-    /// The geometric mean, seconds.
-    fn mean(&self) -> f64 {
-        let places: f32 = self.0.iter().enumerate().map(|(k, bin)| k as f32 * bin).sum();
-        0.02 * f64::from(places / self.count().max(f32::MIN_POSITIVE)).exp2()
-    }
-}
-
-#[derive(Debug, Default)]
-struct Node {
-    zone: Zone,
-    kind: usize,
-    listed: f64,
-    standing: Standing,
-    since: Duration,
-    started: Option<Duration>,
-    /// The decaying score: tries and failed tries, halved together.
-    tries: f32,
-    failed: f32,
-    /// Failed tries since the last good one, and when that was heard of.
-    run: f32,
-    good_at: Duration,
-    heard: Duration,
-    /// Good answers a second, by zone of the proxies.
-    flow: Vec<f64>,
-    /// What its queries took, waiting included; what it says that they take; how busy it says it is.
-    times: Times,
-    work: Times,
-    busy: f32,
-    /// Reports until then may still speak of the process before.
-    deaf_until: Duration,
-    refused: bool,
-    unanswered: u32,
-    probed: Duration,
-    /// What withdrew it was hard evidence: nothing good came from it at all.
-    hard: bool,
-    halved: bool,
-    withdrawals: VecDeque<Duration>,
-    /// Its own swiftness against what the list says, 1 where nothing is known.
-    swift: f64,
-    /// For the classes set apart.
-    apart: bool,
-    /// Its weight in each table, and whether it is shut out, as sent.
-    sent: [Option<f64>; 2],
-    out: bool,
-}
-
-impl Node {
-    fn in_service(&self) -> bool {
-        matches!(self.standing, Unknown | Eligible | Ramping)
-    }
-
-    fn ready(&self) -> bool {
-        !matches!(self.standing, Unlisted | Draining)
-    }
-
-    fn enter(&mut self, standing: Standing, now: Duration) {
-        (self.standing, self.since) = (standing, now);
-        if standing == Ramping {
-            // What was held against it belongs to the time before.
-            (self.tries, self.failed, self.run, self.unanswered) = (0.0, 0.0, 0.0, 0);
-            (self.refused, self.hard) = (false, false);
-        }
-    }
-}
-
-#[derive(Debug, Default)]
-struct Joined {
-    here: bool,
-    /// The classes set apart there, a bit each, once it is bound.
-    bound: Option<u64>,
-    /// Queries a second that came, by class.
-    came: Vec<f64>,
-    /// When it was sent messages of late.
-    messages: VecDeque<Duration>,
-}
-
-/// One reply's messages on their way.
-#[derive(Debug)]
-struct Flying {
-    mark: u16,
-    lines: f64,
-    at: Duration,
-    awaited: BTreeSet<Proxy>,
-}
-
-/// What is on its way to the proxies.
-#[derive(Debug, Default)]
-struct Channel {
-    flying: VecDeque<Flying>,
-    mark: u16,
-}
-
-impl Channel {
-    fn lines(&self) -> f64 {
-        self.flying.iter().map(|f| f.lines).sum()
-    }
-
-    /// Messages leave in sequence: one that took effect proves that all ordered before it have left.
-    fn applied(&mut self, proxy: Proxy, mark: u16) {
-        if let Some(place) = self.flying.iter().position(|f| f.mark == mark) {
-            self.flying.drain(..place);
-            self.flying[0].awaited.remove(&proxy);
-            self.flying.retain(|f| !f.awaited.is_empty());
-        }
-    }
-
-    fn left(&mut self, proxy: Proxy) {
-        self.flying.iter_mut().for_each(|f| _ = f.awaited.remove(&proxy));
-        self.flying.retain(|f| !f.awaited.is_empty());
-    }
-}
-
-/// How much is let in, and for whom.
-#[derive(Debug, Default)]
-struct Gate {
-    /// How hard pressed the fleet is, and the part of it for classes set apart: above 1 is too hard.
-    pressure: [f64; 2],
-    times: [Times; 2],
-    /// Good answers a second, and the most of late.
-    handled: f64,
-    best: f64,
-    tries_cut: bool,
-    changed: Duration,
-    /// Queries a second over all proxies and classes; `None`: all.
-    limit: Option<f64>,
-    /// Classes set apart, a bit each, and the part of the fleet that they have.
-    apart: u64,
-    part: f64,
-    sent: Vec<(Option<f64>, FurtherTries)>,
+fn time(place: f64) -> f64 {
+    0.02 * place.exp2()
 }
 
 /// One planner; it starts empty.
@@ -285,8 +116,8 @@
                 node.run += *failed as f32;
                 if good > 0.0 {
                     (node.run, node.good_at) = (0.0, now);
-                    node.times.add(took, good);
-                    self.gate.times[usize::from(node.apart)].add(took, good);
+                    node.times.add(place(took), good);
+                    self.gate.times[usize::from(node.apart)].add(place(took), good);
                 }
             }
             Event::Came { proxy, class, queries, span, .. } => {
@@ -328,7 +159,7 @@
             let node = at(&mut self.nodes, server);
             match self.facts.text(&format!("load.{k}")) {
                 "busy" => node.busy += (value as f32 - node.busy) * if node.busy > 0.0 { 0.2 } else { 1.0 },
-                "work_time" => node.work.add(value / 1000.0, 1.0),
+                "work_time" => node.work.add(place(value / 1000.0), 1.0),
                 _ => {}
             }
         }
@@ -399,7 +230,7 @@
                 {
                     failing.push(s);
                     // Failing, and slow in what it answers, is too much load and no fault: less weight.
-                    node.halved = node.apart || (node.times.count() >= 1.0 && node.times.mean() > slow);
+                    node.halved = node.apart || (node.times.count() >= 1.0 && time(node.times.mean()) > slow);
                 }
                 Held if waited >= secs(60) => node.enter(Withdrawn, now),
                 // With probes, one that was handled opens the probation.
@@ -501,9 +332,9 @@
                     at(&mut seen, 0).push((s, n.listed * f64::from(n.busy / n.tries), true));
                 }
             } else if n.work.count() >= 4.0 {
-                at(&mut seen, kind).push((s, n.listed * n.work.mean(), true));
+                at(&mut seen, kind).push((s, n.listed * time(n.work.mean()), true));
             } else if n.times.count() >= 8.0 {
-                at(&mut seen, kind).push((s, n.times.mean(), false));
+                at(&mut seen, kind).push((s, time(n.times.mean()), false));
             }
         }
         for peers in seen {
@@ -567,7 +398,7 @@
         for (k, times) in gate.times.iter_mut().enumerate() {
             let serving = self.nodes.iter().filter(|n| n.in_service() && n.apart == (k == 1));
             let (tries, failed) = serving.fold((1.0, 0.0), |(t, f), n| (t + n.tries, f + n.failed));
-            let late = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
+            let late = if times.count() < 10.0 { 0.0 } else { time(times.mean()) / slow };
             // More than one failed try in seven is more than a few servers' trouble.
             gate.pressure[k] = late.max(f64::from(failed / tries) / 0.15);
             times.halve();
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,182 @@
+//! What a planner keeps in mind. No decision is made here: `logic.rs` makes them all.
+
+use crate::interface::{FurtherTries, Proxy, Zone};
+use std::collections::{BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// The place `index` of a list that grows as indices come.
+pub fn at<T: Default>(list: &mut Vec<T>, index: usize) -> &mut T {
+    if list.len() <= index {
+        list.resize_with(index + 1, T::default);
+    }
+    &mut list[index]
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Standing {
+    /// Not on the list, or no longer.
+    #[default]
+    Unlisted,
+    /// In service, but nothing heard of late.
+    Unknown,
+    Eligible,
+    /// In service on a growing part of its weight.
+    Ramping,
+    Withdrawn,
+    /// Out, and nothing bad seen since it entered this standing.
+    Probation,
+    /// Out for long, after withdrawals in a row.
+    Held,
+    Draining,
+}
+/// A small histogram: a few coarse bins at even places. What falls between two is split between them, so
+/// that the mean stays true.
+#[derive(Debug, Clone, Default)]
+pub struct Histogram([f32; 10]);
+
+impl Histogram {
+    pub fn add(&mut self, place: f64, weight: f32) {
+        let place = place.clamp(0.0, 8.999);
+        let part = place.fract() as f32;
+        self.0[place as usize] += weight * (1.0 - part);
+        self.0[place as usize + 1] += weight * part;
+    }
+
+    pub fn halve(&mut self) {
+        self.0.iter_mut().for_each(|bin| *bin *= 0.5);
+    }
+
+    pub fn count(&self) -> f32 {
+        self.0.iter().sum()
+    }
+
+    /// The mean place.
+    pub fn mean(&self) -> f64 {
+        let places: f32 = self.0.iter().enumerate().map(|(k, bin)| k as f32 * bin).sum();
+        f64::from(places / self.count().max(f32::MIN_POSITIVE))
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Node {
+    pub zone: Zone,
+    pub kind: usize,
+    pub listed: f64,
+    pub standing: Standing,
+    pub since: Duration,
+    pub started: Option<Duration>,
+    /// The decaying score: tries and failed tries, halved together.
+    pub tries: f32,
+    pub failed: f32,
+    /// Failed tries since the last good one, and when that was heard of.
+    pub run: f32,
+    pub good_at: Duration,
+    pub heard: Duration,
+    /// Good answers a second, by zone of the proxies.
+    pub flow: Vec<f64>,
+    /// What its queries took, waiting included; what it says that they take; how busy it says it is.
+    pub times: Histogram,
+    pub work: Histogram,
+    pub busy: f32,
+    /// Reports until then may still speak of the process before.
+    pub deaf_until: Duration,
+    pub refused: bool,
+    pub unanswered: u32,
+    pub probed: Duration,
+    /// What withdrew it was hard evidence: nothing good came from it at all.
+    pub hard: bool,
+    pub halved: bool,
+    pub withdrawals: VecDeque<Duration>,
+    /// Its own swiftness against what the list says, 1 where nothing is known.
+    pub swift: f64,
+    /// For the classes set apart.
+    pub apart: bool,
+    /// Its weight in each table, and whether it is shut out, as sent.
+    pub sent: [Option<f64>; 2],
+    pub out: bool,
+}
+
+impl Node {
+    pub fn in_service(&self) -> bool {
+        matches!(self.standing, Standing::Unknown | Standing::Eligible | Standing::Ramping)
+    }
+
+    pub fn ready(&self) -> bool {
+        !matches!(self.standing, Standing::Unlisted | Standing::Draining)
+    }
+
+    pub fn enter(&mut self, standing: Standing, now: Duration) {
+        (self.standing, self.since) = (standing, now);
+        if standing == Standing::Ramping {
+            // What was held against it belongs to the time before.
+            (self.tries, self.failed, self.run, self.unanswered) = (0.0, 0.0, 0.0, 0);
+            (self.refused, self.hard) = (false, false);
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Joined {
+    pub here: bool,
+    /// The classes set apart there, a bit each, once it is bound.
+    pub bound: Option<u64>,
+    /// Queries a second that came, by class.
+    pub came: Vec<f64>,
+    /// When it was sent messages of late.
+    pub messages: VecDeque<Duration>,
+}
+
+/// One reply's messages on their way.
+#[derive(Debug)]
+pub struct Flying {
+    pub mark: u16,
+    pub lines: f64,
+    pub at: Duration,
+    pub awaited: BTreeSet<Proxy>,
+}
+
+/// What is on its way to the proxies.
+#[derive(Debug, Default)]
+pub struct Channel {
+    pub flying: VecDeque<Flying>,
+    pub mark: u16,
+}
+
+impl Channel {
+    pub fn lines(&self) -> f64 {
+        self.flying.iter().map(|f| f.lines).sum()
+    }
+
+    /// Messages leave in sequence: one that took effect proves that all ordered before it have left.
+    pub fn applied(&mut self, proxy: Proxy, mark: u16) {
+        if let Some(place) = self.flying.iter().position(|f| f.mark == mark) {
+            self.flying.drain(..place);
+            self.flying[0].awaited.remove(&proxy);
+            self.flying.retain(|f| !f.awaited.is_empty());
+        }
+    }
+
+    pub fn left(&mut self, proxy: Proxy) {
+        self.flying.iter_mut().for_each(|f| _ = f.awaited.remove(&proxy));
+        self.flying.retain(|f| !f.awaited.is_empty());
+    }
+}
+
+/// How much is let in, and for whom.
+#[derive(Debug, Default)]
+pub struct Gate {
+    /// How hard pressed the fleet is, and the part of it for classes set apart: above 1 is too hard.
+    pub pressure: [f64; 2],
+    pub times: [Histogram; 2],
+    /// Good answers a second, and the most of late.
+    pub handled: f64,
+    pub best: f64,
+    pub tries_cut: bool,
+    pub changed: Duration,
+    /// Queries a second over all proxies and classes; `None`: all.
+    pub limit: Option<f64>,
+    /// Classes set apart, a bit each, and the part of the fleet that they have.
+    pub apart: u64,
+    pub part: f64,
+    pub sent: Vec<(Option<f64>, FurtherTries)>,
+}
