Restart amid an overload keeps old levels till the first reports; no parting of a small fleet

Symptom: a planner that restarts in an overload opens all levels at once; the fleet collapses and cold servers fall.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,6 +25,11 @@
     Duration::from_secs(n)
 }
 
+/// Takes in a new pace: the first as it is, later ones by half.
+fn blend(pace: &mut f64, new: f64) {
+    *pace = if *pace > 0.0 { (*pace + new) / 2.0 } else { new };
+}
+
 /// Times are kept on doubling bins from 20 ms, which spans any query that has a limit of seconds.
 fn place(seconds: f64) -> f64 {
     (seconds / 0.02).max(1.0).log2()
@@ -93,8 +98,9 @@
             }
             Event::Listed { how: Listing::Failed, .. } => orders.push(Order::Subscribe { on: true }),
             Event::Listed { how, entries } => self.list(*how, entries),
-            Event::Joined { proxy, .. } => {
-                *at(&mut self.proxies, *proxy) = Joined { here: true, ..Joined::default() }
+            Event::Joined { proxy, fresh, .. } => {
+                *at(&mut self.proxies, *proxy) =
+                    Joined { here: true, old: !fresh, at: now, ..Joined::default() }
             }
             Event::Left { proxy } => {
                 *at(&mut self.proxies, *proxy) = Joined::default();
@@ -107,8 +113,7 @@
                 let node = at(&mut self.nodes, *server);
                 node.heard = now;
                 // By the span that a line covers: lines come late and in bursts.
-                let flow = at(&mut node.flow, *zone);
-                *flow += (f64::from(good) / span.as_secs_f64().max(0.1) - *flow) * 0.5;
+                blend(at(&mut node.flow, *zone), f64::from(good) / span.as_secs_f64().max(0.1));
                 if now < node.deaf_until {
                     return;
                 }
@@ -122,7 +127,7 @@
             }
             Event::Came { proxy, class, queries, span, .. } => {
                 let came = at(&mut at(&mut self.proxies, *proxy).came, *class);
-                *came += (*queries as f64 / span.as_secs_f64().max(0.1) - *came) * 0.5;
+                blend(came, *queries as f64 / span.as_secs_f64().max(0.1));
             }
             Event::Probed { server, found, load, .. } => {
                 self.loaded(*server, load);
@@ -362,6 +367,10 @@
         self.halved_at = if halve { self.now } else { self.halved_at };
     }
 
+    fn leveled(&self) -> bool {
+        matches!(self.facts.text("levels.kind"), "pace" | "share")
+    }
+
     /// The classes by payoff, and among equals the one that can wait least first.
     fn classes(&self) -> Vec<Class> {
         let key = |c: Class, name: &str| self.fact(&format!("class.{c}.{name}"), 1.0);
@@ -393,7 +402,7 @@
     /// room of the least classes, only when that does not help.
     fn gauge(&mut self) {
         let (now, slow, classes) = (self.now, self.slow(), self.classes());
-        let leveled = matches!(self.facts.text("levels.kind"), "pace" | "share");
+        let leveled = self.leveled();
         let gate = &mut self.gate;
         for (k, times) in gate.times.iter_mut().enumerate() {
             let serving = self.nodes.iter().filter(|n| n.in_service() && n.apart == (k == 1));
@@ -404,7 +413,12 @@
             times.halve();
         }
         let pressure = gate.pressure[0];
+        let (first, came) = (gate.handled <= 0.0, self.proxies.iter().flat_map(|p| &p.came).sum::<f64>());
         gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
+        if first && leveled && gate.handled > 0.0 && gate.handled < 0.7 * came {
+            // Started amid an overload: what old levels let in now is the best guess.
+            (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled), true, now);
+        }
         gate.best = gate.handled.max(gate.best * 0.99);
         let limited = gate.limit.is_some() || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
@@ -426,7 +440,6 @@
             }
             (gate.tries_cut, gate.changed) = (true, now);
         } else if pressure < 0.9 {
-            let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
             // The more room, the longer the step: a fleet at rest is let in within a few seconds.
             let step = 1.0 + 0.2 * (1.0 - pressure);
             gate.limit = gate.limit.map(|l| l * step).filter(|l| *l < came * 1.2);
@@ -492,15 +505,19 @@
         }
     }
 
-    /// Chooses the servers for the classes set apart: the first in service, up to their part.
+    /// Chooses the servers for the classes set apart: the first in service, up to their part. Never a cold
+    /// one, which the crowd would push over, and never the last: too small a fleet is not parted.
     fn part(&mut self) {
-        // Never a cold one, which the crowd would push over.
-        let open = |s: Server| self.nodes[s].in_service() && self.ramp(s) >= 1.0;
-        let weigh = |s| if open(s) { self.weight(s) } else { 0.0 };
-        let weights: Vec<f64> = (0..self.nodes.len()).map(weigh).collect();
+        let warm = |s: &Server| self.nodes[*s].in_service() && self.ramp(*s) >= 1.0;
+        let open: Vec<Server> = (0..self.nodes.len()).filter(warm).collect();
+        if open.len() < 4 {
+            self.gate.apart = 0;
+        }
+        let weights: Vec<f64> = open.iter().map(|s| self.weight(*s)).collect();
         let mut left = weights.iter().sum::<f64>() * self.gate.part;
-        for (node, weight) in self.nodes.iter_mut().zip(weights) {
-            node.apart = self.gate.apart != 0 && weight > 0.0 && left > 0.0;
+        self.nodes.iter_mut().for_each(|n| n.apart = false);
+        for (s, weight) in open.iter().zip(weights).skip(1) {
+            self.nodes[*s].apart = self.gate.apart != 0 && left > 0.0;
             left -= weight;
         }
     }
@@ -528,7 +545,9 @@
         let mut room = free;
         // Two messages are kept back for what can't wait.
         let ordinary = beat && spare >= 3.0;
-        if ordinary {
+        let open = |n: &&Node| n.in_service() && !n.out;
+        let sides = |apart| self.nodes.iter().filter(open).any(|n| n.apart == apart);
+        if ordinary || (self.gate.apart != 0 && !(sides(true) && sides(false))) {
             self.part();
         }
         let before = orders.len();
@@ -592,10 +611,17 @@
         let lines = self.nodes.iter().flat_map(|n| n.sent).flatten().count() as f64;
         let mut reached = if everyone { joined.clone() } else { BTreeSet::new() };
         let apart = self.gate.apart;
+        let leveled = self.leveled();
         let cost = 2.0 + 2.0 * lines + 2.0 * self.gate.sent.len() as f64;
         for &p in joined.iter().filter(|_| lines > 0.0) {
             let bound = self.proxies[p].bound;
-            if bound == Some(apart) || (bound.is_some() && !ordinary) || room < cost {
+            // A proxy that holds a table of before keeps it until the first reports tell how much it lets
+            // in, but not so long that what it holds could break a rule.
+            let old = self.proxies[p].old && self.gate.handled <= 0.0 && leveled;
+            if bound.is_none() && old && now < self.proxies[p].at + secs(2) {
+                continue;
+            }
+            if bound == Some(apart) || (bound.is_some() && !ordinary && apart != 0) || room < cost {
                 continue;
             }
             // All classes at first; then those that changed sides.
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,6 +118,9 @@
 #[derive(Debug, Default)]
 pub struct Joined {
     pub here: bool,
+    /// It came with tables of before, and when.
+    pub old: bool,
+    pub at: Duration,
     /// The classes set apart there, a bit each, once it is bound.
     pub bound: Option<u64>,
     /// Queries a second that came, by class.
