Gate: pressure by the failures of the last two seconds

Cause: failures kept for many seconds held the pressure up after a cut had worked, so cut followed cut.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -119,6 +119,10 @@
                 }
                 (node.tries, node.failed) = (node.tries + *tries as f32, node.failed + *failed as f32);
                 node.run += *failed as f32;
+                if node.in_service() {
+                    let met = &mut self.gate.met[usize::from(node.apart)];
+                    *met = (met.0 + *tries as f64, met.1 + *failed as f64);
+                }
                 if good > 0.0 {
                     (node.run, node.good_at) = (0.0, now);
                     node.times.add(place(took), good);
@@ -405,11 +409,11 @@
         let leveled = self.leveled();
         let gate = &mut self.gate;
         for (k, times) in gate.times.iter_mut().enumerate() {
-            let serving = self.nodes.iter().filter(|n| n.in_service() && n.apart == (k == 1));
-            let (tries, failed) = serving.fold((1.0, 0.0), |(t, f), n| (t + n.tries, f + n.failed));
+            let (tries, failed) = gate.met[k];
+            gate.met[k] = (tries * 0.5, failed * 0.5);
             let late = if times.count() < 10.0 { 0.0 } else { time(times.mean()) / slow };
             // More than one failed try in seven is more than a few servers' trouble.
-            gate.pressure[k] = late.max(f64::from(failed / tries) / 0.15);
+            gate.pressure[k] = late.max(failed / (tries + 1.0) / 0.15);
             times.halve();
         }
         let pressure = gate.pressure[0];
--- a/src/state.rs
+++ b/src/state.rs
@@ -171,6 +171,8 @@
     /// How hard pressed the fleet is, and the part of it for classes set apart: above 1 is too hard.
     pub pressure: [f64; 2],
     pub times: [Histogram; 2],
+    /// Tries and failed tries of late in both.
+    pub met: [(f64, f64); 2],
     /// Good answers a second, and the most of late.
     pub handled: f64,
     pub best: f64,
