--- a/src/logic.rs
+++ b/src/logic.rs
@@ -417,11 +417,14 @@
             times.halve();
         }
         let pressure = gate.pressure[0];
-        let (first, came) = (gate.handled <= 0.0, self.proxies.iter().flat_map(|p| &p.came).sum::<f64>());
+        let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
         gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
-        if first && leveled && gate.handled > 0.0 && gate.handled < 0.7 * came {
+        // Two beats of reports tell whether old levels hold back a part of what comes.
+        gate.beats += u32::from(gate.handled > 0.0);
+        let old = self.proxies.iter().any(|p| p.old);
+        if old && leveled && gate.beats == 2 && gate.handled < 0.7 * came {
             // Started amid an overload: what old levels let in now is the best guess.
-            (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled), true, now);
+            (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled * 1.2), true, now);
         }
         gate.best = gate.handled.max(gate.best * 0.99);
         let limited = gate.limit.is_some() || gate.apart != 0;
@@ -445,7 +448,7 @@
             (gate.tries_cut, gate.changed) = (true, now);
         } else if pressure < 0.9 {
             // The more room, the longer the step: a fleet at rest is let in within a few seconds.
-            let step = 1.0 + 0.2 * (1.0 - pressure);
+            let step = 1.0 + 0.3 * (1.0 - pressure);
             gate.limit = gate.limit.map(|l| l * step).filter(|l| *l < came * 1.2);
             gate.part = (gate.part * step).min(0.8);
             // Together again once both parts are at ease.
@@ -621,7 +624,7 @@
             let bound = self.proxies[p].bound;
             // A proxy that holds a table of before keeps it until the first reports tell how much it lets
             // in, but not so long that what it holds could break a rule.
-            let old = self.proxies[p].old && self.gate.handled <= 0.0 && leveled;
+            let old = self.proxies[p].old && self.gate.beats < 2 && leveled;
             if bound.is_none() && old && now < self.proxies[p].at + secs(2) {
                 continue;
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -175,6 +175,8 @@
     pub met: [(f64, f64); 2],
     /// Good answers a second, and the most of late.
     pub handled: f64,
+    /// Beats with reports since the start.
+    pub beats: u32,
     pub best: f64,
     pub tries_cut: bool,
     pub changed: Duration,
