--- a/src/logic.rs
+++ b/src/logic.rs
@@ -448,7 +448,7 @@
             (gate.tries_cut, gate.changed) = (true, now);
         } else if pressure < 0.9 {
             // The more room, the longer the step: a fleet at rest is let in within a few seconds.
-            let step = 1.0 + 0.3 * (1.0 - pressure);
+            let step = 1.0 + 0.2 * (1.0 - pressure);
             gate.limit = gate.limit.map(|l| l * step).filter(|l| *l < came * 1.2);
             gate.part = (gate.part * step).min(0.8);
             // Together again once both parts are at ease.
