Gate: a limit a third above what comes stays on

Against surges of repeats that reports tell of too late. Could hurt where a proxy's own traffic jumps by more than a fifth in two seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -427,7 +427,7 @@
             (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled * 1.2), true, now);
         }
         gate.best = gate.handled.max(gate.best * 0.99);
-        let limited = gate.limit.is_some() || gate.apart != 0;
+        let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
         if pressure > 1.0 && rested {
@@ -449,14 +449,17 @@
         } else if pressure < 0.9 {
             // The more room, the longer the step: a fleet at rest is let in within a few seconds.
             let step = 1.0 + 0.2 * (1.0 - pressure);
-            gate.limit = gate.limit.map(|l| l * step).filter(|l| *l < came * 1.2);
+            // A limit a third above what comes stays on, against surges that reports tell of too late.
+            if leveled && gate.beats >= 3 {
+                gate.limit = Some(gate.limit.map_or(f64::MAX, |l| l * step).min(came * 1.3));
+            }
             gate.part = (gate.part * step).min(0.8);
             // Together again once both parts are at ease.
             if gate.pressure[1] < 0.9 && rested {
                 gate.apart = 0;
             }
             // Tries come back last, five seconds after all is let in again.
-            let open = gate.limit.is_none() && gate.apart == 0;
+            let open = gate.limit.is_none_or(|l| l >= came * 1.2) && gate.apart == 0;
             gate.tries_cut &= !open || now < gate.changed + secs(5);
         }
     }
