Gate: remember the knee, rise to nine tenths of it at once, past it by little

Cause: the limit rose by a fifth of the room each second, past what the fleet takes, and reports told seconds later. Change: a cut remembers what was handled (the knee).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -434,7 +434,9 @@
             if gate.tries_cut && leveled {
                 // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
                 let part = (1.0 - 0.15 * pressure).clamp(0.5, 0.9);
-                gate.limit = Some(gate.handled.max(gate.best * 0.6) * part);
+                // The knee is what it could handle; each further cut lowers that a little.
+                gate.knee = if gate.knee > 0.0 { gate.handled.max(gate.knee * 0.85) } else { gate.best };
+                gate.limit = Some(gate.handled.max(gate.knee * 0.6) * part);
             } else if gate.tries_cut && pressure > 1.1 {
                 // No levels here: the least class moves to a part of the fleet, in steps to a tenth; then
                 // the next class joins it, with most of the fleet.
@@ -451,7 +453,12 @@
             let step = 1.0 + 0.2 * (1.0 - pressure);
             // A limit a third above what comes stays on, against surges that reports tell of too late.
             if leveled && gate.beats >= 3 {
-                gate.limit = Some(gate.limit.map_or(f64::MAX, |l| l * step).min(came * 1.3));
+                let l = gate.limit.unwrap_or(f64::MAX);
+                // Up to the knee at once, past it by little: what is too much shows seconds late.
+                let rise = if l < gate.knee * 0.9 { (l * step * 1.1).min(gate.knee * 0.9) } else { l * step };
+                let past = gate.knee > 0.0 && l >= gate.knee * 0.9;
+                gate.limit =
+                    Some(if past { l * (1.0 + 0.04 * (1.0 - pressure)) } else { rise }.min(came * 1.3));
             }
             gate.part = (gate.part * step).min(0.8);
             // Together again once both parts are at ease.
@@ -461,6 +468,7 @@
             // Tries come back last, five seconds after all is let in again.
             let open = gate.limit.is_none_or(|l| l >= came * 1.2) && gate.apart == 0;
             gate.tries_cut &= !open || now < gate.changed + secs(5);
+            gate.knee = if gate.tries_cut { gate.knee } else { 0.0 };
         }
     }
 
