--- a/src/logic.rs
+++ b/src/logic.rs
@@ -407,6 +407,8 @@
     fn gauge(&mut self) {
         let (now, slow, classes) = (self.now, self.slow(), self.classes());
         let leveled = self.leveled();
+        let serving = (0..self.nodes.len()).filter(|s| self.nodes[*s].in_service());
+        let fleet = serving.map(|s| self.weight(s)).sum::<f64>().max(1e-3);
         let gate = &mut self.gate;
         for (k, times) in gate.times.iter_mut().enumerate() {
             let (tries, failed) = gate.met[k];
@@ -418,6 +420,7 @@
         }
         let pressure = gate.pressure[0];
         let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
+        gate.eased |= pressure < 0.9;
         gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
         // Two beats of reports tell whether old levels hold back a part of what comes.
         gate.beats += u32::from(gate.handled > 0.0);
@@ -426,7 +429,8 @@
             // Started amid an overload: what old levels let in now is the best guess.
             (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled * 1.2), true, now);
         }
-        gate.best = gate.handled.max(gate.best * 0.99);
+        // By the weight in service, so that both follow when servers leave or return.
+        gate.best = (gate.handled / fleet).max(gate.best * 0.99);
         let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
@@ -434,9 +438,16 @@
             if gate.tries_cut && leveled {
                 // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
                 let part = (1.0 - 0.15 * pressure).clamp(0.5, 0.9);
-                // The knee is what it could handle; each further cut lowers that a little.
-                gate.knee = if gate.knee > 0.0 { gate.handled.max(gate.knee * 0.85) } else { gate.best };
-                gate.limit = Some(gate.handled.max(gate.knee * 0.6) * part);
+                // The knee is what it could handle; each time that it is too much after an ease lowers it.
+                let lower = (gate.knee * 0.85).max(gate.handled / fleet);
+                gate.knee = if gate.knee == 0.0 {
+                    gate.best
+                } else if gate.eased {
+                    lower
+                } else {
+                    gate.knee
+                };
+                gate.limit = Some(gate.handled.max(gate.knee * fleet * 0.6) * part);
             } else if gate.tries_cut && pressure > 1.1 {
                 // No levels here: the least class moves to a part of the fleet, in steps to a tenth; then
                 // the next class joins it, with most of the fleet.
@@ -447,7 +458,7 @@
                     gate.apart |= 1 << class;
                 }
             }
-            (gate.tries_cut, gate.changed) = (true, now);
+            (gate.tries_cut, gate.changed, gate.eased) = (true, now, false);
         } else if pressure < 0.9 {
             // The more room, the longer the step: a fleet at rest is let in within a few seconds.
             let step = 1.0 + 0.2 * (1.0 - pressure);
@@ -455,8 +466,9 @@
             if leveled && gate.beats >= 3 {
                 let l = gate.limit.unwrap_or(f64::MAX);
                 // Up to the knee at once, past it by little: what is too much shows seconds late.
-                let rise = if l < gate.knee * 0.9 { (l * step * 1.1).min(gate.knee * 0.9) } else { l * step };
-                let past = gate.knee > 0.0 && l >= gate.knee * 0.9;
+                let knee = gate.knee * fleet * 0.9;
+                let rise = if l < knee { (l * step * 1.1).min(knee) } else { l * step };
+                let past = gate.knee > 0.0 && l >= knee;
                 gate.limit =
                     Some(if past { l * (1.0 + 0.04 * (1.0 - pressure)) } else { rise }.min(came * 1.3));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -178,6 +178,8 @@
     /// Beats with reports since the start.
     pub beats: u32,
     pub best: f64,
+    /// The pressure fell since the last cut.
+    pub eased: bool,
     /// What the fleet could handle when a cut was needed; 0 when none was.
     pub knee: f64,
     pub tries_cut: bool,
