--- a/src/logic.rs
+++ b/src/logic.rs
@@ -430,7 +430,9 @@
             (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled * 1.2), true, now);
         }
         // By the weight in service, so that both follow when servers leave or return.
-        gate.best = (gate.handled / fleet).max(gate.best * 0.99);
+        // What is handled under too much pressure comes late and is no measure.
+        let pace = if gate.pressure[0] < 1.0 { gate.handled / fleet } else { 0.0 };
+        gate.best = pace.max(gate.best * 0.99);
         let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
