Weights: times with waiting in them count half, and slowly

Cause: the weights by what queries took were an integrator on reports seconds late; they swung from 0.5 to 1.7 and back and filled servers in turn. Also holds against noise in any report; could hurt where true swiftness differs by far.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -351,8 +351,10 @@
             for (s, time, direct) in peers {
                 let swift = &mut self.nodes[s].swift;
                 let lag = (mean - time.ln()).clamp(-1.0, 1.0);
-                // Small steps: reports are seconds late, and a step is felt before it is seen.
-                let step = if direct { (lag - swift.ln()) * 0.3 } else { lag * 0.1 };
+                // Times with the waiting in them answer to the weight itself, seconds late: half of what they
+                // say, taken up slowly, does not swing.
+                let (goal, pace) = if direct { (lag, 0.3) } else { (lag * 0.5, 0.1) };
+                let step = (goal - swift.ln()) * pace;
                 *swift = (*swift * step.exp()).clamp(0.4, 2.0);
             }
         }
