Gate: a limit by what the servers in service could handle, before reports tell

Cause: when a zone is lost the reports need five seconds to show the overload that the list of servers shows at once. Could hurt where the guess of what the fleet could handle is low: it is made only at ease.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,9 +25,9 @@
     Duration::from_secs(n)
 }
 
-/// Takes in a new pace: the first as it is, later ones by half.
-fn blend(pace: &mut f64, new: f64) {
-    *pace = if *pace > 0.0 { (*pace + new) / 2.0 } else { new };
+/// Takes in a new pace: the first as it is, later ones in part.
+fn blend(pace: &mut f64, new: f64, part: f64) {
+    *pace += (new - *pace) * if *pace > 0.0 { part } else { 1.0 };
 }
 
 /// Times are kept on doubling bins from 20 ms, which spans any query that has a limit of seconds.
@@ -113,7 +113,7 @@
                 let node = at(&mut self.nodes, *server);
                 node.heard = now;
                 // By the span that a line covers: lines come late and in bursts.
-                blend(at(&mut node.flow, *zone), f64::from(good) / span.as_secs_f64().max(0.1));
+                blend(at(&mut node.flow, *zone), f64::from(good) / span.as_secs_f64().max(0.1), 0.5);
                 if now < node.deaf_until {
                     return;
                 }
@@ -131,7 +131,7 @@
             }
             Event::Came { proxy, class, queries, span, .. } => {
                 let came = at(&mut at(&mut self.proxies, *proxy).came, *class);
-                blend(came, *queries as f64 / span.as_secs_f64().max(0.1));
+                blend(came, *queries as f64 / span.as_secs_f64().max(0.1), 0.5);
             }
             Event::Probed { server, found, load, .. } => {
                 self.loaded(*server, load);
@@ -432,9 +432,13 @@
             (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled * 1.2), true, now);
         }
         // By the weight in service, so that both follow when servers leave or return.
-        // What is handled under too much pressure comes late and is no measure.
-        let pace = if gate.pressure[0] < 1.0 { gate.handled / fleet } else { 0.0 };
-        gate.best = pace.max(gate.best * 0.99);
+        // What the fleet could handle, by the weight in service: the lighter the pressure, the more above what
+        // it handles now (queries wait about twice as long at seven tenths of the way to the knee). Under too
+        // much pressure what is handled comes late and is no measure.
+        let pressed = gate.pressure[0];
+        if gate.beats >= 3 && pressed < 1.0 {
+            blend(&mut gate.best, gate.handled / fleet / pressed.max(0.4).powf(0.7), 0.15);
+        }
         let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
@@ -475,6 +479,9 @@
                 let past = gate.knee > 0.0 && l >= knee;
                 gate.limit =
                     Some(if past { l * (1.0 + 0.04 * (1.0 - pressure)) } else { rise }.min(came * 1.3));
+                if gate.beats >= 8 {
+                    gate.limit = gate.limit.map(|l| l.min(gate.best * fleet * 1.1));
+                }
             }
             gate.part = (gate.part * step).min(0.8);
             // Together again once both parts are at ease.
