Binds: every class of a joined proxy at once; drains ordered anew for tables of before

Cause: with the first class set apart, its bind for the other classes was left out, and withdrawals sent before it joined do not reach it.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -99,8 +99,11 @@
             Event::Listed { how: Listing::Failed, .. } => orders.push(Order::Subscribe { on: true }),
             Event::Listed { how, entries } => self.list(*how, entries),
             Event::Joined { proxy, fresh, .. } => {
-                *at(&mut self.proxies, *proxy) =
-                    Joined { here: true, old: !fresh, at: now, ..Joined::default() }
+                let old = !fresh;
+                *at(&mut self.proxies, *proxy) = Joined { here: true, old, at: now, ..Joined::default() };
+                // What it holds may name servers that drain or are gone; until it is bound, only a
+                // withdrawal ordered from now on keeps it from them.
+                self.nodes.iter_mut().filter(|n| old && !n.ready()).for_each(|n| n.out = false);
             }
             Event::Left { proxy } => {
                 *at(&mut self.proxies, *proxy) = Joined::default();
@@ -666,7 +669,7 @@
                 continue;
             }
             // All classes at first; then those that changed sides.
-            if bound.unwrap_or(1) & !apart != 0 {
+            if bound.is_none_or(|b| b & !apart != 0) {
                 let classes = bound.map_or(0, |b| b & !apart);
                 orders.push(Order::Bind { proxy: p, table: TABLES[0], classes });
             }
