Weights: the servers' own times over twenty reports; classes apart only past pressure 1.5

Cause: a few late reports of a noisy time moved the weights, and parting at pressure 1.1 gave up a class where all would still have come through. Could hurt where a server's speed changes within seconds.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -356,7 +356,7 @@
                 let lag = (mean - time.ln()).clamp(-1.0, 1.0);
                 // Times with the waiting in them answer to the weight itself, seconds late: half of what they
                 // say, taken up slowly, does not swing.
-                let (goal, pace) = if direct { (lag, 0.3) } else { (lag * 0.5, 0.1) };
+                let (goal, pace) = if direct { (lag, 0.2) } else { (lag * 0.5, 0.1) };
                 let step = (goal - swift.ln()) * pace;
                 *swift = (*swift * step.exp()).clamp(0.4, 2.0);
             }
@@ -367,7 +367,9 @@
             if halve {
                 (node.tries, node.failed) = (node.tries * 0.5, node.failed * 0.5);
                 node.times.halve();
-                node.work.halve();
+                if node.work.count() > 20.0 {
+                    node.work.halve();
+                }
             }
             if self.now >= node.heard + secs(3) {
                 node.flow.clear();
@@ -459,7 +461,7 @@
                     gate.knee
                 };
                 gate.limit = Some(gate.handled.max(gate.knee * fleet * 0.6) * part);
-            } else if gate.tries_cut && pressure > 1.1 {
+            } else if gate.tries_cut && pressure > 1.5 {
                 // No levels here: the least class moves to a part of the fleet, in steps to a tenth; then
                 // the next class joins it, with most of the fleet.
                 let next = classes.iter().skip(1).rev().find(|c| gate.apart >> **c & 1 == 0);
