--- a/src/logic.rs
+++ b/src/logic.rs
@@ -306,11 +306,11 @@
         let node = &self.nodes[s];
         let mut part: f64 = 1.0;
         if let Some(started) = node.started {
-            // A cold server is both smaller and slower; its least capacity, squared, allows for both.
+            // A cold server is smaller, and slower too: a little less than its least capacity.
             let (from, warm) = (self.fact("cold.from", 0.1), self.fact("cold.warm_after", 20.0).max(0.1));
             let age = self.now.saturating_sub(started).as_secs_f64() / warm;
             let least = (from + (1.0 - from) * age).min(1.0);
-            part = least.powi(2).max(0.1);
+            part = least.powf(1.3).max(0.1);
             // Where the others are full, proxies shun them and heap what they have on the fresh one. So the
             // harder pressed the fleet, the warmer a server must be to be let in, and to stay. Its first
             // second or two are never worth it.
