--- a/src/logic.rs
+++ b/src/logic.rs
@@ -585,12 +585,13 @@
         let (count, head) = (joined.len() as f64, self.fact("channel.overhead", 10.0) + 1.0);
         // Half the backlog stays free: marks come late, and a slow channel is seen late.
         let free = self.fact("channel.backlog", 500.0) / 2.0 - self.channel.lines() - head * count;
-        if joined.is_empty() || spare < 1.0 || free < 0.0 {
+        // The last message that a proxy may get is kept for a drain, and two more for what can't wait either.
+        let drain = self.nodes.iter().any(|n| !n.ready() && !n.out && n.sent != [None, None]);
+        if joined.is_empty() || spare < if drain { 1.0 } else { 2.0 } || free < 0.0 {
             return;
         }
         let mut room = free;
-        // Two messages are kept back for what can't wait.
-        let ordinary = beat && spare >= 3.0;
+        let ordinary = beat && spare >= 4.0;
         let open = |n: &&Node| n.in_service() && !n.out;
         let sides = |apart| self.nodes.iter().filter(open).any(|n| n.apart == apart);
         if ordinary || (self.gate.apart != 0 && !(sides(true) && sides(false))) {
