--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -1,18 +1,470 @@
 use super::*;
-use crate::state::Histogram;
-use std::collections::BTreeSet as Set;
+use crate::interface::Fact;
+use crate::state::{Histogram, Standing};
+use std::collections::BTreeMap;
+
+const NOW: Duration = secs(100);
+
+fn facts(numbers: &[(&str, f64)]) -> Facts {
+    Facts(numbers.iter().map(|(k, n)| (k.to_string(), Fact::Number(*n))).collect::<BTreeMap<_, _>>())
+}
+
+/// A server in full service that was heard of just now.
+fn well(zone: usize) -> Node {
+    let (listed, swift, standing) = (1.0, 1.0, Eligible);
+    Node { zone, listed, swift, standing, heard: NOW, good_at: NOW, tries: 20.0, ..Node::default() }
+}
+
+fn planner(nodes: Vec<Node>) -> Planner {
+    let facts = facts(&[("channel.backlog", 4000.0), ("channel.overhead", 4.0)]);
+    Planner { now: NOW, facts, nodes, chance: Some(WyRand::new_seed(1)), ..Planner::default() }
+}
+
+fn proxy(bound: Option<u64>) -> Joined {
+    Joined { here: true, bound, at: NOW, ..Joined::default() }
+}
+
+fn met(server: Server, tries: u64, failed: u64, span: Duration) -> Event {
+    let took = Duration::from_millis(200);
+    Event::Met { zone: 0, server, tries, failed, took, span, load: vec![] }
+}
+
+fn sent(planner: &mut Planner) -> Vec<Order> {
+    let mut orders = Vec::new();
+    planner.send(true, &mut orders);
+    orders
+}
+
+fn standings(planner: &Planner) -> Vec<Standing> {
+    planner.nodes.iter().map(|n| n.standing).collect()
+}
+
+#[test]
+fn a_histogram_keeps_the_mean() {
+    let mut times = Histogram::default();
+    times.add(place(0.1), 3.0);
+    assert!((time(times.mean()) - 0.1).abs() < 1e-4);
+}
 
 #[test]
 fn a_mark_that_took_effect_clears_what_went_before() {
-    let flying = |mark| Flying { mark, lines: 10.0, at: Duration::ZERO, awaited: Set::from([0, 1]) };
+    let flying = |mark| Flying { mark, lines: 10.0, at: NOW, awaited: BTreeSet::from([0, 1]) };
     let mut channel = Channel { flying: [flying(1), flying(2)].into(), mark: 2 };
     channel.applied(0, 2);
     assert_eq!(channel.lines(), 10.0);
 }
 
 #[test]
-fn a_histogram_keeps_the_mean() {
-    let mut times = Histogram::default();
-    times.add(place(0.1), 3.0);
-    assert!((time(times.mean()) - 0.1).abs() < 1e-4);
+fn a_proxy_that_left_is_waited_for_no_more() {
+    let flying = Flying { mark: 1, lines: 10.0, at: NOW, awaited: BTreeSet::from([4]) };
+    let mut channel = Channel { flying: [flying].into(), mark: 1 };
+    channel.left(4);
+    assert_eq!(channel.lines(), 0.0);
+}
+
+// What is noted.
+
+#[test]
+fn a_burst_of_late_reports_does_not_look_like_more_handled() {
+    let mut planner = planner(vec![well(0)]);
+    planner.note(&met(0, 10, 0, secs(1)), &mut vec![]);
+    planner.note(&met(0, 40, 0, secs(4)), &mut vec![]);
+    assert_eq!(planner.nodes[0].flow[0], 10.0);
+}
+
+#[test]
+fn a_good_answer_ends_a_run_of_failures() {
+    let mut planner = planner(vec![Node { run: 9.0, ..well(0) }]);
+    planner.note(&met(0, 3, 2, secs(1)), &mut vec![]);
+    assert_eq!(planner.nodes[0].run, 0.0);
+}
+
+#[test]
+fn reports_on_the_process_before_do_not_count() {
+    let mut planner = planner(vec![Node { deaf_until: NOW + secs(1), tries: 0.0, ..well(0) }]);
+    planner.note(&met(0, 5, 5, secs(1)), &mut vec![]);
+    assert_eq!(planner.nodes[0].failed, 0.0);
+}
+
+#[test]
+fn a_stale_timer_starts_nothing() {
+    let mut orders = Vec::new();
+    Planner { token: 7, ..planner(vec![]) }.note(&Event::Woken { token: 6 }, &mut orders);
+    assert_eq!(orders, vec![]);
+}
+
+#[test]
+fn a_report_on_a_server_never_listed_is_harmless() {
+    let orders = planner(vec![]).decide(NOW, &[met(3, 5, 5, secs(1))]);
+    assert!(!orders.iter().any(|o| matches!(o, Order::Line { .. })));
+}
+
+#[test]
+fn a_restart_under_the_same_id_ramps() {
+    let mut planner = planner(vec![well(0)]);
+    planner.listed_once = true;
+    let (mode, started) = (Mode::Ready, Some(NOW));
+    let entry = Entry { server: 0, zone: 0, kind: 0, cell: 0, mode, weight: 1.0, started };
+    planner.list(Listing::Changes, &[entry]);
+    assert_eq!(standings(&planner), [Ramping]);
+}
+
+#[test]
+fn what_a_whole_list_leaves_out_is_gone() {
+    let mut planner = planner(vec![well(0)]);
+    planner.list(Listing::Whole, &[]);
+    assert_eq!(standings(&planner), [Unlisted]);
+}
+
+#[test]
+fn an_empty_change_of_the_list_changes_nothing() {
+    let mut planner = planner(vec![well(0)]);
+    planner.list(Listing::Changes, &[]);
+    assert_eq!(standings(&planner), [Eligible]);
+}
+
+#[test]
+fn a_probe_that_was_turned_away_says_nothing() {
+    let mut planner = planner(vec![Node { standing: Probation, ..well(0) }]);
+    let found = Found::TurnedAway;
+    planner.note(&Event::Probed { server: 0, found, after: secs(0), load: vec![] }, &mut vec![]);
+    assert_eq!(standings(&planner), [Probation]);
+}
+
+// How servers are judged.
+
+#[test]
+fn nothing_but_failures_withdraws_at_once() {
+    let dead = Node { run: 6.0, failed: 6.0, good_at: NOW - secs(3), ..well(0) };
+    let mut planner = planner(vec![dead, well(0), well(0)]);
+    planner.judge();
+    assert_eq!(standings(&planner), [Withdrawn, Eligible, Eligible]);
+}
+
+#[test]
+fn a_row_of_time_outs_is_not_death_while_something_good_comes() {
+    let full = Node { run: 6.0, failed: 6.0, good_at: NOW - secs(1), ..well(0) };
+    let mut planner = planner(vec![full, well(0), well(0)]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Eligible);
+}
+
+#[test]
+fn a_row_of_time_outs_counts_less_when_most_suffer() {
+    let suffering = || Node { failed: 10.0, ..well(0) };
+    let row = Node { run: 6.0, failed: 12.0, good_at: NOW - secs(3), ..well(0) };
+    let mut planner = planner(vec![row, suffering(), suffering()]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Eligible);
+}
+
+#[test]
+fn silence_alone_is_unknown() {
+    let silent = Node { heard: NOW - secs(9), good_at: NOW - secs(9), ..well(0) };
+    let mut planner = planner(vec![silent, well(0)]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Unknown);
+}
+
+#[test]
+fn two_unanswered_probes_corroborate_silence() {
+    let silent = Node { unanswered: 2, good_at: NOW - secs(3), ..well(0) };
+    let mut planner = planner(vec![silent, well(0)]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Withdrawn);
+}
+
+#[test]
+fn past_half_of_the_tries_failed_withdraws() {
+    let sick = Node { failed: 12.0, ..well(0) };
+    let mut planner = planner(vec![sick, well(0), well(0), well(0)]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Withdrawn);
+}
+
+#[test]
+fn too_few_tries_count_as_average() {
+    let hardly_met = Node { tries: 6.0, failed: 5.0, ..well(0) };
+    let mut planner = planner(vec![hardly_met, well(0), well(0), well(0)]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Eligible);
+}
+
+#[test]
+fn failing_and_slow_is_load_and_costs_half_the_weight() {
+    let mut full = Node { failed: 12.0, ..well(0) };
+    full.times.add(place(3.0), 5.0);
+    let mut planner = planner(vec![full, well(0), well(0), well(0)]);
+    planner.facts = facts(&[("classes", 1.0), ("class.0.soft_limit", 1.0)]);
+    planner.judge();
+    assert!(planner.nodes[0].halved && planner.nodes[0].standing == Eligible);
+}
+
+#[test]
+fn most_of_a_zone_failing_together_is_halved_and_stays() {
+    let sick = || Node { failed: 12.0, ..well(1) };
+    let mut planner = planner(vec![sick(), sick(), well(0), well(0), well(0)]);
+    planner.judge();
+    assert!(planner.nodes[0].halved && planner.nodes[0].standing == Eligible);
+}
+
+#[test]
+fn a_server_set_apart_is_meant_to_be_full() {
+    let full = Node { run: 60.0, failed: 19.0, apart: true, good_at: NOW - secs(9), ..well(0) };
+    let mut planner = planner(vec![full, well(0), well(0)]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Eligible);
+}
+
+#[test]
+fn the_third_withdrawal_in_a_minute_holds() {
+    let twice = [NOW - secs(40), NOW - secs(20)].into();
+    let mut planner = planner(vec![Node { withdrawals: twice, ..well(0) }]);
+    planner.withdraw(0, true);
+    assert_eq!(standings(&planner), [Held]);
+}
+
+#[test]
+fn probation_takes_ten_seconds() {
+    let out = |since| Node { standing: Probation, since, ..well(0) };
+    let mut planner = planner(vec![out(NOW - secs(9)), out(NOW - secs(10))]);
+    planner.judge();
+    assert_eq!(standings(&planner), [Probation, Ramping]);
+}
+
+// The floor.
+
+#[test]
+fn under_half_of_a_zone_its_withdrawn_return_ramping() {
+    let out = || Node { standing: Withdrawn, since: NOW - secs(6), ..well(0) };
+    let mut planner = planner(vec![out(), out(), well(0), well(1), well(1)]);
+    planner.floor();
+    assert_eq!(standings(&planner)[..2], [Ramping, Ramping]);
+}
+
+#[test]
+fn a_dead_zone_stays_out_while_most_of_the_fleet_serves() {
+    let dead = || Node { standing: Withdrawn, since: NOW - secs(6), hard: true, ..well(0) };
+    let mut planner = planner(vec![dead(), dead(), well(1), well(1), well(1)]);
+    planner.floor();
+    assert_eq!(standings(&planner)[..2], [Withdrawn, Withdrawn]);
+}
+
+#[test]
+fn the_last_servers_return_at_once_even_if_dead() {
+    let dead = || Node { standing: Withdrawn, since: NOW, hard: true, ..well(0) };
+    let mut planner = planner(vec![dead(), Node { standing: Draining, ..well(0) }]);
+    planner.floor();
+    assert_eq!(standings(&planner), [Ramping, Draining]);
+}
+
+// What a server may carry.
+
+fn cold(age: u64) -> Node {
+    Node { started: Some(NOW - secs(age)), sent: [Some(0.1), None], ..well(0) }
+}
+
+#[test]
+fn a_cold_server_gets_a_part_that_grows_with_its_age() {
+    let mut planner = planner(vec![cold(1), cold(10), cold(30)]);
+    planner.facts = facts(&[("cold.from", 0.2), ("cold.warm_after", 20.0)]);
+    let parts: Vec<f64> = (0..3).map(|s| planner.ramp(s)).collect();
+    assert!(parts[0] < 0.2 && parts[0] < parts[1] && parts[1] < 0.6 && parts[2] == 1.0);
+}
+
+#[test]
+fn a_hard_pressed_fleet_keeps_a_cold_server_out() {
+    let mut planner = planner(vec![cold(5)]);
+    planner.gate.pressure[0] = 4.0;
+    assert_eq!(planner.ramp(0), 0.0);
+}
+
+#[test]
+fn a_server_just_started_waits_its_first_seconds() {
+    let new = Node { sent: [None, None], ..cold(1) };
+    assert_eq!(planner(vec![new]).ramp(0), 0.0);
+}
+
+#[test]
+fn a_server_that_returns_starts_at_a_tenth() {
+    let back = Node { standing: Ramping, since: NOW, ..well(0) };
+    assert!((planner(vec![back]).ramp(0) - 0.1).abs() < 1e-9);
+}
+
+#[test]
+fn weights_follow_what_the_tries_cost_a_server() {
+    let busy = |busy| Node { busy, ..well(0) };
+    let mut planner = planner(vec![busy(0.8), busy(0.4)]);
+    planner.weigh();
+    assert!(planner.nodes[0].swift < 0.95 && planner.nodes[1].swift > 1.05);
+}
+
+#[test]
+fn times_with_the_waiting_in_them_settle_half_way() {
+    let timed = |seconds| {
+        let mut node = well(0);
+        node.times.add(place(seconds), 1e6);
+        node
+    };
+    let mut planner = planner(vec![timed(0.4), timed(0.1)]);
+    (0..200).for_each(|_| planner.weigh());
+    let ratio = planner.nodes[1].swift / planner.nodes[0].swift;
+    assert!((1.8..2.2).contains(&ratio));
+}
+
+// Levels, further tries and classes set apart.
+
+fn leveled(nodes: Vec<Node>) -> Planner {
+    let mut planner = planner(nodes);
+    let limits = [("classes", 2.0), ("class.0.soft_limit", 1.0), ("class.1.soft_limit", 1.0)];
+    planner.facts = facts(&[&limits[..], &[("class.0.payoff", 2.0), ("class.1.payoff", 5.0)]].concat());
+    planner.facts.0.insert("levels.kind".into(), Fact::Text("pace".into()));
+    planner.proxies = vec![Joined { came: vec![30.0, 20.0], ..proxy(Some(0)) }];
+    planner
+}
+
+#[test]
+fn the_limit_goes_to_the_dearest_class_first() {
+    let mut planner = leveled(vec![well(0)]);
+    planner.gate.limit = Some(30.0);
+    let levels: Vec<f64> = planner.levels().into_iter().filter_map(|(level, _)| level).collect();
+    assert_eq!(levels, [10.0, 24.0]);
+}
+
+#[test]
+fn one_level_for_all_proxies_binds_the_busy_ones() {
+    let mut planner = leveled(vec![well(0)]);
+    planner.proxies = [5.0, 40.0].map(|pace| Joined { came: vec![0.0, pace], ..proxy(Some(0)) }).into();
+    planner.gate.limit = Some(25.0);
+    assert_eq!(planner.levels()[1].0, Some(20.0));
+}
+
+#[test]
+fn further_tries_are_cut_before_any_level() {
+    let mut planner = leveled(vec![well(0)]);
+    planner.gate.times[0].add(place(3.0), 50.0);
+    planner.gauge();
+    assert!(planner.gate.tries_cut && planner.gate.limit.is_none());
+}
+
+#[test]
+fn a_cut_goes_below_what_is_handled() {
+    let mut planner = leveled(vec![Node { flow: vec![40.0], ..well(0) }]);
+    (planner.gate.tries_cut, planner.gate.beats) = (true, 9);
+    planner.gate.times[0].add(place(1.5), 50.0);
+    planner.gauge();
+    assert!(planner.gate.limit.is_some_and(|limit| (20.0..36.0).contains(&limit)));
+}
+
+#[test]
+fn a_start_amid_an_overload_takes_over_the_level_it_finds() {
+    let mut planner = leveled(vec![Node { flow: vec![20.0], ..well(0) }]);
+    planner.proxies[0].old = true;
+    planner.gate.beats = 1;
+    planner.gauge();
+    assert_eq!(planner.gate.limit, Some(24.0));
+}
+
+#[test]
+fn a_lost_zone_lowers_the_limit_before_reports_tell() {
+    let mut planner = leveled(vec![Node { flow: vec![50.0], ..well(0) }]);
+    (planner.gate.beats, planner.gate.best) = (20, 30.0);
+    planner.gauge();
+    assert!(planner.gate.limit.is_some_and(|limit| limit < 50.0));
+}
+
+#[test]
+fn without_levels_the_least_class_is_set_apart() {
+    let mut planner = leveled(vec![well(0)]);
+    planner.facts.0.remove("levels.kind");
+    planner.gate.tries_cut = true;
+    planner.gate.times[0].add(place(3.0), 50.0);
+    planner.gauge();
+    assert_eq!((planner.gate.apart, planner.gate.limit), (0b01, None));
+}
+
+#[test]
+fn the_part_takes_neither_cold_servers_nor_the_whole_fleet() {
+    let mut planner = planner(vec![cold(1), well(0), well(0), well(0), well(0)]);
+    (planner.gate.apart, planner.gate.part) = (1, 1.0);
+    planner.part();
+    let apart: Vec<bool> = planner.nodes.iter().map(|n| n.apart).collect();
+    assert_eq!(apart, [false, false, true, true, true]);
+}
+
+#[test]
+fn a_small_fleet_is_not_parted() {
+    let mut planner = planner(vec![well(0), well(0), well(0)]);
+    (planner.gate.apart, planner.gate.part) = (1, 0.5);
+    planner.part();
+    assert!(planner.gate.apart == 0 && !planner.nodes.iter().any(|n| n.apart));
+}
+
+// What is sent.
+
+#[test]
+fn withdrawals_go_before_lines() {
+    let gone = Node { standing: Draining, sent: [Some(1.0), None], ..well(0) };
+    let mut planner = planner(vec![well(0), gone]);
+    planner.proxies = vec![proxy(Some(0))];
+    assert!(matches!(
+        sent(&mut planner)[..2],
+        [Order::Withdraw { server: 1, out: true }, Order::Line { .. }]
+    ));
+}
+
+#[test]
+fn a_proxy_of_before_gets_the_drains_anew() {
+    let drained = Node { standing: Draining, out: true, sent: [Some(1.0), None], ..well(0) };
+    let mut planner = planner(vec![well(0), drained]);
+    planner.note(&Event::Joined { proxy: 0, zone: 0, rate: 1.0, fresh: false }, &mut vec![]);
+    assert!(sent(&mut planner).contains(&Order::Withdraw { server: 1, out: true }));
+}
+
+#[test]
+fn a_joined_proxy_is_bound_for_every_class() {
+    let mut planner = planner((0..5).map(|_| well(0)).collect());
+    (planner.gate.apart, planner.gate.part) = (1, 0.5);
+    planner.proxies = vec![proxy(None)];
+    let orders = sent(&mut planner);
+    for classes in [0, 1] {
+        assert!(orders.iter().any(|o| matches!(o, Order::Bind { classes: c, .. } if *c == classes)));
+    }
+}
+
+#[test]
+fn an_order_names_only_proxies_that_are_joined() {
+    let mut planner = planner(vec![well(0)]);
+    planner.proxies = vec![Joined::default()];
+    assert_eq!(sent(&mut planner), vec![]);
+}
+
+#[test]
+fn nothing_is_sent_into_a_full_channel() {
+    let mut planner = planner(vec![well(0)]);
+    planner.proxies = vec![proxy(Some(0))];
+    let awaited = BTreeSet::from([0]);
+    planner.channel.flying.push_back(Flying { mark: 9, lines: 1999.0, at: NOW, awaited });
+    assert_eq!(sent(&mut planner), vec![]);
+}
+
+#[test]
+fn a_limit_of_messages_leaves_the_last_for_a_drain() {
+    let drain = Node { standing: Draining, sent: [Some(1.0), None], ..well(0) };
+    let mut planner = planner(vec![well(0), drain]);
+    planner.facts.0.insert("channel.messages".into(), Fact::Number(3.0));
+    planner.proxies = vec![Joined { messages: [NOW, NOW].into(), ..proxy(Some(0)) }];
+    assert_eq!(sent(&mut planner)[0], Order::Withdraw { server: 1, out: true });
+    planner.nodes[0].sent = [None, None];
+    assert_eq!(sent(&mut planner), vec![]);
+}
+
+#[test]
+fn the_same_events_give_the_same_orders() {
+    let run = || {
+        let mut planner = planner(vec![well(0), well(1)]);
+        planner.facts.0.insert("probes.allowed".into(), Fact::Flag(true));
+        (0..9).map(|k| planner.decide(NOW + secs(k), &[])).collect::<Vec<_>>()
+    };
+    assert_eq!(run(), run());
 }
