--- a/src/logic.rs
+++ b/src/logic.rs
@@ -597,13 +597,15 @@
         if ordinary || (self.gate.apart != 0 && !(sides(true) && sides(false))) {
             self.part();
         }
+        // Where keys fall into slices only withdrawals are ordered so far (docs/design.md).
+        let sliced = self.fact("slices", 0.0) > 0.0;
         let before = orders.len();
         let weights: Vec<f64> = (0..self.nodes.len()).map(|s| self.weight(s)).collect();
         for (s, &weight) in weights.iter().enumerate() {
             let node = &mut self.nodes[s];
             let open = node.in_service() && weight > 0.0;
             if open == node.out && room >= 3.0 * count {
-                if open {
+                if open && !sliced {
                     node.apart = false;
                     node.sent[0] = Some(weight);
                     orders.push(Order::Line { table: TABLES[0], server: s, weight });
@@ -618,7 +620,7 @@
         }
         for (s, &weight) in weights.iter().enumerate() {
             let node = &mut self.nodes[s];
-            let open = node.in_service() && weight > 0.0;
+            let open = node.in_service() && weight > 0.0 && !sliced;
             for (t, table) in TABLES.into_iter().enumerate() {
                 let mine = usize::from(node.apart) == t;
                 let ratio = weight / node.sent[t].unwrap_or(f64::MIN_POSITIVE);
@@ -636,7 +638,7 @@
                 }
             }
         }
-        for (class, (level, tries)) in self.levels().into_iter().enumerate().filter(|_| ordinary) {
+        for (class, (level, tries)) in self.levels().into_iter().enumerate().filter(|_| ordinary && !sliced) {
             let old = self.gate.sent.get(class).copied();
             let near = |a: Option<f64>| match (a, level) {
                 (Some(a), Some(b)) => (0.93..1.07).contains(&(b / a)),
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -468,3 +468,13 @@
     };
     assert_eq!(run(), run());
 }
+
+#[test]
+fn where_keys_fall_into_slices_only_withdrawals_are_ordered() {
+    let gone = Node { standing: Draining, ..well(0) };
+    let mut planner = planner(vec![well(0), gone]);
+    planner.facts.0.insert("slices".into(), Fact::Number(8.0));
+    planner.proxies = vec![proxy(None)];
+    let orders = sent(&mut planner);
+    assert!(matches!(orders[..], [Order::Withdraw { server: 1, out: true }, Order::Mark { .. }]));
+}
