--- a/src/logic.rs
+++ b/src/logic.rs
@@ -465,9 +465,9 @@
                 // No levels here: the least class moves to a part of the fleet, in steps to a tenth; then
                 // the next class joins it, with most of the fleet.
                 let next = classes.iter().skip(1).rev().find(|c| gate.apart >> **c & 1 == 0);
-                gate.part = (gate.part * 0.7).max(0.1);
-                if let Some(class) = next.filter(|_| gate.apart == 0 || gate.part <= 0.1) {
-                    gate.part = if gate.apart == 0 { 0.25 } else { 0.7 };
+                gate.part = (gate.part * 0.8).max(0.06);
+                if let Some(class) = next.filter(|_| gate.apart == 0 || gate.part <= 0.06) {
+                    gate.part = if gate.apart == 0 { 0.15 } else { 0.5 };
                     gate.apart |= 1 << class;
                 }
             }
