--- a/src/logic.rs
+++ b/src/logic.rs
@@ -462,14 +462,9 @@
                 };
                 gate.limit = Some(gate.handled.max(gate.knee * fleet * 0.6) * part);
             } else if gate.tries_cut && pressure > 1.5 {
-                // No levels here: the least class moves to a part of the fleet, in steps to a tenth; then
-                // the next class joins it, with most of the fleet.
-                let next = classes.iter().skip(1).rev().find(|c| gate.apart >> **c & 1 == 0);
-                gate.part = (gate.part * 0.8).max(0.06);
-                if let Some(class) = next.filter(|_| gate.apart == 0 || gate.part <= 0.06) {
-                    gate.part = if gate.apart == 0 { 0.15 } else { 0.5 };
-                    gate.apart |= 1 << class;
-                }
+                // No levels here: the least class moves to a part of the fleet, less with each step.
+                gate.part = if gate.apart == 0 { 0.15 } else { (gate.part * 0.8).max(0.06) };
+                gate.apart = classes.iter().skip(1).last().map_or(0, |least| 1 << least);
             }
             (gate.tries_cut, gate.changed, gate.eased) = (true, now, false);
         } else if pressure < 0.9 {
