--- a/src/logic.rs
+++ b/src/logic.rs
@@ -215,10 +215,6 @@
         let mut shares: Vec<f32> = heard.map(|n| n.failed / n.tries).collect();
         shares.sort_by(f32::total_cmp);
         let usual = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
-        let weights: Vec<f64> = (0..self.nodes.len()).map(|s| self.weight(s)).collect();
-        let serving = || self.nodes.iter().zip(&weights).filter(|(n, _)| n.in_service() && !n.apart);
-        let each =
-            serving().map(|(n, _)| f64::from(n.tries)).sum::<f64>() / serving().map(|(_, w)| w).sum::<f64>();
         let mut failing = Vec::new();
         for s in 0..self.nodes.len() {
             let full = self.ramp(s) >= 1.0;
@@ -232,9 +228,6 @@
             let dead = dead && quiet >= 2.5 && !node.apart;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
             let doubts = if node.unanswered > 0 { node.unanswered as f32 + node.run } else { 0.0 };
-            // Failing fast draws tries: proxies take the server for idle. Time-outs and load never do.
-            let share = node.failed / node.tries.max(1.0);
-            let fast = share > 0.4 && f64::from(node.tries) > 1.4 * each * weights[s];
             let heard = now < node.heard + secs(3);
             let waited = now.saturating_sub(node.since);
             match node.standing {
@@ -245,12 +238,11 @@
                 // so it must stand out from the usual too. Eight tries are the least to tell half from few.
                 _ if node.in_service()
                     && node.tries >= 8.0
-                    && (fast || share > (2.0 * usual + 0.2).max(0.5)) =>
+                    && node.failed / node.tries > (2.0 * usual + 0.2).max(0.5) =>
                 {
                     failing.push(s);
                     // Failing, and slow in what it answers, is too much load and no fault: less weight.
-                    node.halved =
-                        node.apart || (!fast && node.times.count() >= 1.0 && time(node.times.mean()) > slow);
+                    node.halved = node.apart || (node.times.count() >= 1.0 && time(node.times.mean()) > slow);
                 }
                 Held if waited >= secs(60) => node.enter(Withdrawn, now),
                 // With probes, one that was handled opens the probation.
