--- a/src/logic.rs
+++ b/src/logic.rs
@@ -209,12 +209,15 @@
     }
 
     fn judge(&mut self) {
-        let (now, slow, pressure) = (self.now, self.slow(), self.gate.pressure[0]);
-        // The usual share of failed tries: the middle one of the servers in service.
+        let (now, slow) = (self.now, self.slow());
+        // What is usual, in failed tries and in quiet: that of the middle one of the servers in service.
         let heard = self.nodes.iter().filter(|n| n.in_service() && !n.apart && n.tries >= 2.0);
-        let mut shares: Vec<f32> = heard.map(|n| n.failed / n.tries).collect();
-        shares.sort_by(f32::total_cmp);
-        let usual = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
+        let middle = |mut seen: Vec<f32>| {
+            seen.sort_by(f32::total_cmp);
+            seen.get(seen.len() / 2).copied().unwrap_or(0.0)
+        };
+        let usual = middle(heard.clone().map(|n| n.failed / n.tries).collect());
+        let hush = middle(heard.map(|n| now.saturating_sub(n.good_at).as_secs_f32()).collect());
         let mut failing = Vec::new();
         for s in 0..self.nodes.len() {
             let full = self.ramp(s) >= 1.0;
@@ -222,10 +225,10 @@
             node.halved = false;
             // Nothing but failures, so many in a row that chance gives them once in ten thousand times.
             // A full server times out in a row as well, but something good still comes from it.
-            let quiet = now.saturating_sub(node.good_at).as_secs_f64() / pressure.clamp(1.0, 2.0);
+            let quiet = now.saturating_sub(node.good_at).as_secs_f32();
             let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4;
             // Those set apart are meant to be full; only probes speak against them.
-            let dead = dead && quiet >= 2.5 && !node.apart;
+            let dead = dead && quiet >= (4.0 * hush).max(2.0) && !node.apart;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
             let doubts = if node.unanswered > 0 { node.unanswered as f32 + node.run } else { 0.0 };
             let heard = now < node.heard + secs(3);
