Judge: dead is quiet for six times what the middle server is, at least 2.5 s

Told from overload by the middle server, which is not quiet. Should also hold for hangs amid an overload; could hurt where one server is met rarely.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -228,7 +228,7 @@
             let quiet = now.saturating_sub(node.good_at).as_secs_f32();
             let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4;
             // Those set apart are meant to be full; only probes speak against them.
-            let dead = dead && quiet >= (4.0 * hush).max(2.0) && !node.apart;
+            let dead = dead && quiet >= (6.0 * hush).max(2.5) && !node.apart;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
             let doubts = if node.unanswered > 0 { node.unanswered as f32 + node.run } else { 0.0 };
             let heard = now < node.heard + secs(3);
