--- a/src/logic.rs
+++ b/src/logic.rs
@@ -449,7 +449,7 @@
         }
         let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
-        let rested = now >= gate.changed + secs(if limited { 4 } else { 1 });
+        let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
         if pressure > 1.0 && rested {
             if gate.tries_cut && leveled {
                 // Below what is handled, the deeper the more waits, so that it is worked off in seconds.
@@ -478,11 +478,7 @@
                 let l = gate.limit.unwrap_or(f64::MAX);
                 // Up to the knee at once, past it by little: what is too much shows seconds late.
                 let knee = gate.knee * fleet * 0.9;
-                let rise = if l < knee {
-                    (l * step * 1.1).max(if pressure < 0.7 { knee * 0.8 } else { 0.0 }).min(knee)
-                } else {
-                    l * step
-                };
+                let rise = if l < knee { (l * step * 1.1).min(knee) } else { l * step };
                 let past = gate.knee > 0.0 && l >= knee;
                 gate.limit =
                     Some(if past { l * (1.0 + 0.04 * (1.0 - pressure)) } else { rise }.min(came * 1.3));
