--- a/src/logic.rs
+++ b/src/logic.rs
@@ -53,6 +53,8 @@
     halved_at: Duration,
     listed_once: bool,
     token: u64,
+    /// A proxy came that no withdrawal sent so far reaches.
+    again: bool,
     /// Lines for the operators' log.
     told: Vec<String>,
 }
@@ -101,9 +103,9 @@
             Event::Joined { proxy, fresh, .. } => {
                 let old = !fresh;
                 *at(&mut self.proxies, *proxy) = Joined { here: true, old, at: now, ..Joined::default() };
-                // What it holds may name servers that drain or are gone; until it is bound, only a
+                // What it holds may name servers that are out; until it is bound, only a
                 // withdrawal ordered from now on keeps it from them.
-                self.nodes.iter_mut().filter(|n| old && !n.ready()).for_each(|n| n.out = false);
+                self.again |= old;
             }
             Event::Left { proxy } => {
                 *at(&mut self.proxies, *proxy) = Joined::default();
@@ -584,7 +586,7 @@
         // Half the backlog stays free: marks come late, and a slow channel is seen late.
         let free = self.fact("channel.backlog", 500.0) / 2.0 - self.channel.lines() - head * count;
         // The last message that a proxy may get is kept for a drain, and two more for what can't wait either.
-        let drain = self.nodes.iter().any(|n| !n.ready() && !n.out && n.sent != [None, None]);
+        let drain = self.again || self.nodes.iter().any(|n| !n.ready() && !n.out && n.sent != [None, None]);
         if joined.is_empty() || spare < if drain { 1.0 } else { 2.0 } || free < 0.0 {
             return;
         }
@@ -597,12 +599,12 @@
         }
         // Where keys fall into slices only withdrawals are ordered so far (docs/design.md).
         let sliced = self.fact("slices", 0.0) > 0.0;
-        let before = orders.len();
+        let (before, again) = (orders.len(), self.again);
         let weights: Vec<f64> = (0..self.nodes.len()).map(|s| self.weight(s)).collect();
         for (s, &weight) in weights.iter().enumerate() {
             let node = &mut self.nodes[s];
             let open = node.in_service() && weight > 0.0;
-            if open == node.out && room >= 3.0 * count {
+            if (open == node.out || (again && !open)) && room >= 3.0 * count {
                 if open && !sliced {
                     node.apart = false;
                     node.sent[0] = Some(weight);
@@ -611,7 +613,7 @@
                         orders.push(Order::Line { table: TABLES[1], server: s, weight: 0.0 });
                     }
                 }
-                node.out = !open;
+                (node.out, self.again) = (!open, false);
                 orders.push(Order::Withdraw { server: s, out: !open });
                 room -= 3.0 * count;
             }
@@ -665,7 +667,7 @@
             // A proxy that holds a table of before keeps it until the first reports tell how much it lets
             // in, but not so long that what it holds could break a rule.
             let old = self.proxies[p].old && self.gate.beats < 2 && leveled;
-            if bound.is_none() && old && now < self.proxies[p].at + secs(2) {
+            if bound.is_none() && old && now < self.proxies[p].at + secs(4) {
                 continue;
             }
             if bound == Some(apart) || (bound.is_some() && !ordinary && apart != 0) || room < cost {
