Sender: where messages are counted, one to all goes out each second with all that is due

Cause: single urgent orders used up the count of messages, so drains and levels waited seconds for their turn. Told from a slow channel by the backlog, which was empty. Change: no reserve, but a steady pace with everything due in each message; drains wait a second at most. With it: no more than usually comes until a restarted planner is seeded, old tables for half the grace only. Also holds against any burst of urgent orders; could hurt where a withdrawal can't wait a second.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,13 @@
 //!
 //! The library holds the decisions and knows no wire. [`Planner::decide`] takes what happened and
 //! returns what is to be done; the words for both stand in [`interface`].
+//!
+//! ```
+//! use runloom::{interface::*, Planner};
+//! let start = Event::Start { seed: 1, facts: Facts::default() };
+//! let orders = Planner::default().decide(std::time::Duration::ZERO, &[start]);
+//! assert!(matches!(orders[..], [Order::Wake { .. }]));
+//! ```
 
 pub mod ids;
 pub mod interface;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -3,13 +3,6 @@
 //! It is called through [`Planner::decide`] alone: with the clock and what happened, start included; it
 //! returns what is to be done. Within: note what happened, judge each server's standing, keep a floor per
 //! zone, weigh the servers in service, set levels, send. `docs/design.md` says what follows the source.
-//!
-//! ```
-//! use runloom::{interface::*, Planner};
-//! let start = Event::Start { seed: 1, facts: Facts::default() };
-//! let orders = Planner::default().decide(std::time::Duration::ZERO, &[start]);
-//! assert!(matches!(orders[..], [Order::Wake { .. }]));
-//! ```
 
 use crate::interface::{Class, Proxy, Server, Table};
 use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
@@ -53,6 +46,8 @@
     halved_at: Duration,
     listed_once: bool,
     token: u64,
+    /// A beat's deltas wait to be sent.
+    due: bool,
     /// A proxy came that no withdrawal sent so far reaches.
     again: bool,
     /// Lines for the operators' log.
@@ -100,9 +95,11 @@
             }
             Event::Listed { how: Listing::Failed, .. } => orders.push(Order::Subscribe { on: true }),
             Event::Listed { how, entries } => self.list(*how, entries),
-            Event::Joined { proxy, fresh, .. } => {
-                let old = !fresh;
-                *at(&mut self.proxies, *proxy) = Joined { here: true, old, at: now, ..Joined::default() };
+            Event::Joined { proxy, fresh, rate, .. } => {
+                let (old, classes) = (!fresh, self.fact("classes", 0.0));
+                let came = vec![rate / classes; classes as usize];
+                *at(&mut self.proxies, *proxy) =
+                    Joined { here: true, old, at: now, came, ..Joined::default() };
                 // What it holds may name servers that are out; until it is bound, only a
                 // withdrawal ordered from now on keeps it from them.
                 self.again |= old;
@@ -440,6 +437,9 @@
         if old && leveled && gate.beats == 2 && gate.handled < 0.7 * came {
             // Started amid an overload: what old levels let in now is the best guess.
             (gate.limit, gate.tries_cut, gate.changed) = (Some(gate.handled * 1.2), true, now);
+        } else if old && leveled && gate.beats < 2 {
+            // Until then no more than usually comes, lest repeats that old levels held back flood in.
+            gate.limit = Some(came);
         }
         // By the weight in service, so that both follow when servers leave or return.
         // What the fleet could handle, by the weight in service: the lighter the pressure, the more above what
@@ -585,13 +585,16 @@
         let (count, head) = (joined.len() as f64, self.fact("channel.overhead", 10.0) + 1.0);
         // Half the backlog stays free: marks come late, and a slow channel is seen late.
         let free = self.fact("channel.backlog", 500.0) / 2.0 - self.channel.lines() - head * count;
-        // The last message that a proxy may get is kept for a drain, and two more for what can't wait either.
-        let drain = self.again || self.nodes.iter().any(|n| !n.ready() && !n.out && n.sent != [None, None]);
-        if joined.is_empty() || spare < if drain { 1.0 } else { 2.0 } || free < 0.0 {
+        if joined.is_empty() || spare < 1.0 || free < 0.0 {
             return;
         }
+        // Where messages are counted, one to all goes out every so often with all that is due, so that two
+        // are always left: a drain waits a second at most, and never for its turn in the count.
+        let wait = most > 0.0 && now < self.channel.last + over.div_f64((most - 2.0).max(1.0));
         let mut room = free;
-        let ordinary = beat && spare >= 4.0;
+        self.due |= beat;
+        let ordinary = self.due && !wait;
+        self.due &= wait;
         let open = |n: &&Node| n.in_service() && !n.out;
         let sides = |apart| self.nodes.iter().filter(open).any(|n| n.apart == apart);
         if ordinary || (self.gate.apart != 0 && !(sides(true) && sides(false))) {
@@ -600,7 +603,8 @@
         // Where keys fall into slices only withdrawals are ordered so far (docs/design.md).
         let sliced = self.fact("slices", 0.0) > 0.0;
         let (before, again) = (orders.len(), self.again);
-        let weights: Vec<f64> = (0..self.nodes.len()).map(|s| self.weight(s)).collect();
+        let all = if wait { 0 } else { self.nodes.len() };
+        let weights: Vec<f64> = (0..all).map(|s| self.weight(s)).collect();
         for (s, &weight) in weights.iter().enumerate() {
             let node = &mut self.nodes[s];
             let open = node.in_service() && weight > 0.0;
@@ -660,14 +664,14 @@
         let lines = self.nodes.iter().flat_map(|n| n.sent).flatten().count() as f64;
         let mut reached = if everyone { joined.clone() } else { BTreeSet::new() };
         let apart = self.gate.apart;
-        let leveled = self.leveled();
+        let (leveled, grace) = (self.leveled(), self.facts.span("drain.grace").unwrap_or_default());
         let cost = 2.0 + 2.0 * lines + 2.0 * self.gate.sent.len() as f64;
         for &p in joined.iter().filter(|_| lines > 0.0) {
             let bound = self.proxies[p].bound;
-            // A proxy that holds a table of before keeps it until the first reports tell how much it lets
-            // in, but not so long that what it holds could break a rule.
+            // A proxy that holds a table of before keeps it until reports tell how much it lets in, but no
+            // longer than half the grace: only a bind rids it of servers that this list never had.
             let old = self.proxies[p].old && self.gate.beats < 2 && leveled;
-            if bound.is_none() && old && now < self.proxies[p].at + secs(4) {
+            if bound.is_none() && old && now < self.proxies[p].at + grace / 2 {
                 continue;
             }
             if bound == Some(apart) || (bound.is_some() && !ordinary && apart != 0) || room < cost {
@@ -687,6 +691,7 @@
             room -= cost;
         }
         if !reached.is_empty() {
+            self.channel.last = if everyone { now } else { self.channel.last };
             reached.iter().for_each(|p| self.proxies[*p].messages.push_back(now));
             self.channel.mark = self.channel.mark.wrapping_add(1);
             orders.push(Order::Mark { mark: self.channel.mark, everyone });
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -49,7 +49,7 @@
 #[test]
 fn a_mark_that_took_effect_clears_what_went_before() {
     let flying = |mark| Flying { mark, lines: 10.0, at: NOW, awaited: BTreeSet::from([0, 1]) };
-    let mut channel = Channel { flying: [flying(1), flying(2)].into(), mark: 2 };
+    let mut channel = Channel { flying: [flying(1), flying(2)].into(), mark: 2, last: NOW };
     channel.applied(0, 2);
     assert_eq!(channel.lines(), 10.0);
 }
@@ -57,7 +57,7 @@
 #[test]
 fn a_proxy_that_left_is_waited_for_no_more() {
     let flying = Flying { mark: 1, lines: 10.0, at: NOW, awaited: BTreeSet::from([4]) };
-    let mut channel = Channel { flying: [flying].into(), mark: 1 };
+    let mut channel = Channel { flying: [flying].into(), mark: 1, last: NOW };
     channel.left(4);
     assert_eq!(channel.lines(), 0.0);
 }
@@ -449,13 +449,22 @@
 }
 
 #[test]
-fn a_limit_of_messages_leaves_the_last_for_a_drain() {
-    let drain = Node { standing: Draining, sent: [Some(1.0), None], ..well(0) };
+fn where_messages_are_counted_one_goes_to_all_every_so_often() {
+    let drain = Node { standing: Draining, ..well(0) };
     let mut planner = planner(vec![well(0), drain]);
-    planner.facts.0.insert("channel.messages".into(), Fact::Number(3.0));
-    planner.proxies = vec![Joined { messages: [NOW, NOW].into(), ..proxy(Some(0)) }];
+    planner.facts.0.insert("channel.messages".into(), Fact::Number(12.0));
+    planner.proxies = vec![proxy(Some(0))];
+    planner.channel.last = NOW - Duration::from_millis(900);
+    assert_eq!(sent(&mut planner), vec![]);
+    planner.channel.last = NOW - Duration::from_millis(1100);
     assert_eq!(sent(&mut planner)[0], Order::Withdraw { server: 1, out: true });
-    planner.nodes[0].sent = [None, None];
+}
+
+#[test]
+fn a_proxy_is_never_sent_more_messages_than_the_limit() {
+    let mut planner = planner(vec![well(0)]);
+    planner.facts.0.insert("channel.messages".into(), Fact::Number(3.0));
+    planner.proxies = vec![Joined { messages: [NOW, NOW, NOW].into(), ..proxy(Some(0)) }];
     assert_eq!(sent(&mut planner), vec![]);
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -143,6 +143,8 @@
 pub struct Channel {
     pub flying: VecDeque<Flying>,
     pub mark: u16,
+    /// When all joined proxies were sent one.
+    pub last: Duration,
 }
 
 impl Channel {
