--- a/src/logic.rs
+++ b/src/logic.rs
@@ -239,7 +239,7 @@
                 // Half the tries failing is the design's mark; a server is never judged on what all suffer,
                 // so it must stand out from the usual too. Eight tries are the least to tell half from few.
                 _ if node.in_service()
-                    && node.tries >= 8.0
+                    && node.tries >= 20.0
                     && node.failed / node.tries > (2.0 * usual + 0.2).max(0.5) =>
                 {
                     failing.push(s);
