--- a/src/logic.rs
+++ b/src/logic.rs
@@ -222,9 +222,6 @@
             let full = self.ramp(s) >= 1.0;
             let node = &mut self.nodes[s];
             node.halved = false;
-            // Failing in part costs weight in part.
-            let share = if node.tries >= 14.0 { node.failed / node.tries } else { 0.0 };
-            node.fault = f64::from(share - usual - 0.1).clamp(0.0, 0.7);
             // Nothing but failures, so many in a row that chance gives them once in ten thousand times.
             // A full server times out in a row as well, but something good still comes from it.
             let quiet = now.saturating_sub(node.good_at).as_secs_f32();
@@ -333,7 +330,7 @@
 
     fn weight(&self, s: Server) -> f64 {
         let node = &self.nodes[s];
-        node.listed * node.swift * self.ramp(s) * (1.0 - node.fault) * if node.halved { 0.5 } else { 1.0 }
+        node.listed * node.swift * self.ramp(s) * if node.halved { 0.5 } else { 1.0 }
     }
 
     /// Once a beat: how swift each server is against what the list says of it. The best evidence is how
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,7 +86,6 @@
     /// What withdrew it was hard evidence: nothing good came from it at all.
     pub hard: bool,
     pub halved: bool,
-    pub fault: f64,
     pub withdrawals: VecDeque<Duration>,
     /// Its own swiftness against what the list says, 1 where nothing is known.
     pub swift: f64,
