Gate: a lower guess of what the fleet could handle

Cause: the guess made at ease was a third too high, so a lost zone or a surge showed in the times before the limit bound.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -447,7 +447,7 @@
         // much pressure what is handled comes late and is no measure.
         let pressed = gate.pressure[0];
         if gate.beats >= 3 && pressed < 1.0 {
-            blend(&mut gate.best, gate.handled / fleet / pressed.max(0.4).powf(0.7), 0.15);
+            blend(&mut gate.best, gate.handled / fleet / pressed.max(0.4).sqrt(), 0.15);
         }
         let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
@@ -485,7 +485,7 @@
                 gate.limit =
                     Some(if past { l * (1.0 + 0.04 * (1.0 - pressure)) } else { rise }.min(came * 1.3));
                 if gate.beats >= 8 {
-                    gate.limit = gate.limit.map(|l| l.min(gate.best * fleet * 1.1));
+                    gate.limit = gate.limit.map(|l| l.min(gate.best * fleet));
                 }
             }
             gate.part = (gate.part * step).min(0.8);
