--- a/src/logic.rs
+++ b/src/logic.rs
@@ -485,7 +485,7 @@
                 gate.limit =
                     Some(if past { l * (1.0 + 0.04 * (1.0 - pressure)) } else { rise }.min(came * 1.3));
                 if gate.beats >= 8 {
-                    gate.limit = gate.limit.map(|l| l.min(gate.best * fleet * 0.8));
+                    gate.limit = gate.limit.map(|l| l.min(gate.best * fleet * 0.72));
                 }
             }
             gate.part = (gate.part * step).min(0.8);
