Gate: room below the guess by the way proxies pick, 0.7 by chance and 0.8 in turns

Cause: by chance queries queue at a lower load than in turns, and both were cut alike. It goes by a fact told at start; could refuse a few too many on a fleet that is uneven in speed.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -163,9 +163,11 @@
         let text = field.as_str().unwrap_or_default();
         map.insert(format!("load.{k}"), Fact::Text(named(LOAD_NAMES, text).unwrap_or(text).into()));
     }
-    for (wire, ours) in [("ratio", "share"), ("rps", "pace")] {
-        if map.get("levels.kind") == Some(&Fact::Text(wire.into())) {
-            map.insert("levels.kind".into(), Fact::Text(ours.into()));
+    let words = [("ratio", "share"), ("rps", "pace"), ("lottery", "chance"), ("wheel", "turns")];
+    let translated = |name: &str| matches!(name, "levels.kind" | "pick");
+    for (_, fact) in map.iter_mut().filter(|(name, _)| translated(name)) {
+        if let Some((_, ours)) = words.iter().find(|(wire, _)| *fact == Fact::Text(wire.to_string())) {
+            *fact = Fact::Text(ours.to_string());
         }
     }
     Facts(map)
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -404,11 +404,7 @@
             sum += came * self.fact(&format!("class.{class}.soft_limit"), 1.0);
             all += came;
         }
-        if all > 0.0 {
-            0.45 * sum / all
-        } else {
-            f64::INFINITY
-        }
+        0.45 * if all > 0.0 { sum / all } else { f64::INFINITY }
     }
 
     /// Once a beat: how hard pressed the fleet is. Then further tries are cut first, and levels, or the
@@ -418,6 +414,8 @@
         let leveled = self.leveled();
         let serving = (0..self.nodes.len()).filter(|s| self.nodes[*s].in_service());
         let fleet = serving.map(|s| self.weight(s)).sum::<f64>().max(1e-3);
+        // Picked by chance, queries queue at a lower load than in turns.
+        let room = if self.facts.text("pick") == "chance" { 0.7 } else { 0.8 };
         let gate = &mut self.gate;
         for (k, times) in gate.times.iter_mut().enumerate() {
             let (tries, failed) = gate.met[k];
@@ -480,13 +478,13 @@
                 let l = gate.limit.unwrap_or(f64::MAX);
                 // Up to the knee at once, past it by little: what is too much shows seconds late.
                 let knee = gate.knee * fleet * 0.9;
-                let rise = if l < knee { (l * step * 1.1).min(knee) } else { l * step };
-                let past = gate.knee > 0.0 && l >= knee;
-                gate.limit =
-                    Some(if past { l * (1.0 + 0.04 * (1.0 - pressure)) } else { rise }.min(came * 1.3));
-                if gate.beats >= 8 {
-                    gate.limit = gate.limit.map(|l| l.min(gate.best * fleet * 0.72));
-                }
+                let rise = match l {
+                    l if l < knee => (l * step * 1.1).min(knee),
+                    l if gate.knee > 0.0 => l * (1.0 + 0.04 * (1.0 - pressure)),
+                    l => l * step,
+                };
+                let most = if gate.beats < 8 { f64::MAX } else { gate.best * fleet * room };
+                gate.limit = Some(rise.min(came * 1.3).min(most));
             }
             gate.part = (gate.part * step).min(0.8);
             // Together again once both parts are at ease.
