--- a/src/logic.rs
+++ b/src/logic.rs
@@ -464,7 +464,7 @@
                     gate.knee
                 };
                 gate.limit = Some(gate.handled.max(gate.knee * fleet * 0.6) * part);
-            } else if gate.tries_cut && (pressure > 1.5 || came > gate.best * fleet) {
+            } else if gate.tries_cut && (pressure > 1.5 || came > gate.best * fleet * 1.15) {
                 // No levels here: the least class moves to a part of the fleet, less with each step.
                 gate.part = if gate.apart == 0 { 0.15 } else { (gate.part * 0.8).max(0.06) };
                 gate.apart = classes.iter().skip(1).last().map_or(0, |least| 1 << least);
