--- a/src/logic.rs
+++ b/src/logic.rs
@@ -441,8 +441,7 @@
         }
         // By the weight in service, so that both follow when servers leave or return.
         // What the fleet could handle, by the weight in service: the lighter the pressure, the more above what
-        // it handles now (queries wait about twice as long at seven tenths of the way to the knee). Under too
-        // much pressure what is handled comes late and is no measure.
+        // it handles now; the root is a cautious fit. Under too much pressure what is handled comes late.
         let pressed = gate.pressure[0];
         if gate.beats >= 3 && pressed < 1.0 {
             blend(&mut gate.best, gate.handled / fleet / pressed.max(0.4).sqrt(), 0.15);
@@ -483,6 +482,7 @@
                     l if gate.knee > 0.0 => l * (1.0 + 0.04 * (1.0 - pressure)),
                     l => l * step,
                 };
+                // Eight seconds of reports make the guess fit to bind.
                 let most = if gate.beats < 8 { f64::MAX } else { gate.best * fleet * room };
                 gate.limit = Some(rise.min(came * 1.3).min(most));
             }
