--- a/src/logic.rs
+++ b/src/logic.rs
@@ -315,7 +315,7 @@
             part = least.powf(1.3).max(0.1);
             // Where the others are full, proxies shun them and heap what they have on the fresh one. So the
             // harder pressed the fleet, the warmer a server must be to be let in, and to stay. Its first
-            // second or two are never worth it.
+            // second or two never pay.
             let new = node.out || node.sent == [None, None];
             if age < 1.0 && least < (0.2 * self.gate.pressure[0]).max(if new { 0.4 } else { 0.0 }) {
                 return 0.0;
@@ -440,8 +440,8 @@
             gate.limit = Some(came);
         }
         // By the weight in service, so that both follow when servers leave or return.
-        // What the fleet could handle, by the weight in service: the lighter the pressure, the more above what
-        // it handles now; the root is a cautious fit. Under too much pressure what is handled comes late.
+        // What the fleet could handle, by the weight in service: the lighter the pressure, the more above
+        // what it handles now; the root is a cautious fit. Under too much pressure it is handled late.
         let pressed = gate.pressure[0];
         if gate.beats >= 3 && pressed < 1.0 {
             blend(&mut gate.best, gate.handled / fleet / pressed.max(0.4).sqrt(), 0.15);
