--- a/src/logic.rs
+++ b/src/logic.rs
@@ -482,8 +482,8 @@
                     l if gate.knee > 0.0 => l * (1.0 + 0.04 * (1.0 - pressure)),
                     l => l * step,
                 };
-                // Five seconds of reports make the guess fit to bind.
-                let most = if gate.beats < 5 { f64::MAX } else { gate.best * fleet * room };
+                // Three seconds of reports make the guess fit to bind.
+                let most = if gate.beats < 4 { f64::MAX } else { gate.best * fleet * room };
                 gate.limit = Some(rise.min(came * 1.3).min(most));
             }
             gate.part = (gate.part * step).min(0.8);
