List: what a lying list drops stays while it answers; strangers leave at their first failure

Cause: a list that called running servers gone emptied the tables, and old servers that came back ramped as if cold. Under drain.marked_only a dropped server goes on until it fails and gives nothing good; a marked drain binds; a server listed late without a start has to answer first. Holds also against a list that is restored or late; may keep a dead server for some seconds where reports are thin. What enter, in_service and ready decide is now in the module; bins' arithmetic went to the histogram.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::{Class, Proxy, Server, Table};
 use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
-use crate::state::{at, Channel, Flying, Gate, Joined, Node, Standing::*};
+use crate::state::{at, blend, Channel, Flying, Gate, Joined, Node, Standing, Standing::*};
 use nanorand::{Rng, WyRand};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -18,18 +18,31 @@
     Duration::from_secs(n)
 }
 
-/// Takes in a new pace: the first as it is, later ones in part.
-fn blend(pace: &mut f64, new: f64, part: f64) {
-    *pace += (new - *pace) * if *pace > 0.0 { part } else { 1.0 };
-}
+impl Node {
+    pub(crate) fn in_service(&self) -> bool {
+        matches!(self.standing, Unknown | Eligible | Ramping)
+    }
 
-/// Times are kept on doubling bins from 20 ms, which spans any query that has a limit of seconds.
-fn place(seconds: f64) -> f64 {
-    (seconds / 0.02).max(1.0).log2()
-}
+    fn ready(&self) -> bool {
+        !matches!(self.standing, Unlisted | Draining)
+    }
+
+    fn enter(&mut self, standing: Standing, now: Duration) {
+        (self.standing, self.since) = (standing, now);
+        if standing == Ramping {
+            // What was held against it belongs to the time before.
+            (self.tries, self.failed, self.run, self.unanswered) = (0.0, 0.0, 0.0, 0);
+            (self.refused, self.hard) = (false, false);
+        }
+    }
 
-fn time(place: f64) -> f64 {
-    0.02 * place.exp2()
+    /// A list may lie: where only a marked drain binds, what is dropped and serves goes on serving.
+    fn drop_out(&mut self, stays: bool, now: Duration) {
+        self.dropped = stays && self.in_service();
+        if !self.dropped {
+            self.enter(Unlisted, now);
+        }
+    }
 }
 
 /// One planner; it starts empty.
@@ -126,9 +139,9 @@
                     *met = (met.0 + *tries as f64, met.1 + *failed as f64);
                 }
                 if good > 0.0 {
-                    (node.run, node.good_at) = (0.0, now);
-                    node.times.add(place(took), good);
-                    self.gate.times[usize::from(node.apart)].add(place(took), good);
+                    (node.run, node.good_at, node.stranger) = (0.0, now, false);
+                    node.times.add(took, good);
+                    self.gate.times[usize::from(node.apart)].add(took, good);
                 }
             }
             Event::Came { proxy, class, queries, span, .. } => {
@@ -170,30 +183,35 @@
             let node = at(&mut self.nodes, server);
             match self.facts.text(&format!("load.{k}")) {
                 "busy" => node.busy += (value as f32 - node.busy) * if node.busy > 0.0 { 0.2 } else { 1.0 },
-                "work_time" => node.work.add(place(value / 1000.0), 1.0),
+                "work_time" => node.work.add(value / 1000.0, 1.0),
                 _ => {}
             }
         }
     }
 
     fn list(&mut self, how: Listing, entries: &[Entry]) {
-        let (now, first) = (self.now, !self.listed_once);
+        let (now, first, stays) = (self.now, !self.listed_once, self.facts.flag("drain.marked_only"));
         self.listed_once = true;
         for e in entries {
             let node = at(&mut self.nodes, e.server);
+            let known = node.listed > 0.0 && e.started <= node.started;
             (node.zone, node.kind) = (e.zone, e.kind);
             node.listed = if e.weight.is_finite() && e.weight > 0.0 { e.weight } else { 1.0 };
             match e.mode {
                 Mode::Draining => node.enter(Draining, now),
-                Mode::Gone => node.enter(Unlisted, now),
-                Mode::Ready if node.ready() && e.started <= node.started => {}
+                Mode::Gone => node.drop_out(stays, now),
+                Mode::Ready if known && node.ready() => node.dropped = false,
+                // The list was wrong, or has only now become right: the same process, warm by its age.
+                Mode::Ready if known && stays => node.enter(Ramping, now),
                 Mode::Ready => {
                     // A new process. Reports on the one before still come in, up to about this late.
                     node.deaf_until = if first { now } else { now + secs(2) };
                     // On the first list an old server is in full service: all would ramp alike.
                     let old = first && e.started.is_none();
                     node.enter(if old { Eligible } else { Ramping }, now);
-                    (node.swift, node.heard, node.good_at) = (1.0, now, now);
+                    // Later, one that started long ago has yet to show that it is there.
+                    node.stranger = !first && stays && e.started.is_none();
+                    (node.swift, node.heard, node.good_at, node.dropped) = (1.0, now, now, false);
                     (node.times, node.work, node.busy) = Default::default();
                     node.started = if old { None } else { e.started.or(Some(now)) };
                 }
@@ -202,7 +220,7 @@
         if how != Listing::Changes {
             let named: BTreeSet<Server> = entries.iter().map(|e| e.server).collect();
             for (_, node) in self.nodes.iter_mut().enumerate().filter(|(s, _)| !named.contains(s)) {
-                node.enter(Unlisted, now);
+                node.drop_out(stays, now);
             }
         }
     }
@@ -227,12 +245,18 @@
             let quiet = now.saturating_sub(node.good_at).as_secs_f32();
             let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4;
             // Those set apart are meant to be full; only probes speak against them.
-            let dead = dead && quiet >= (6.0 * hush).max(2.5) && !node.apart;
+            let mute = quiet >= (6.0 * hush).max(2.5);
+            let dead = dead && mute && !node.apart;
             // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
             let doubts = if node.unanswered > 0 { node.unanswered as f32 + node.run } else { 0.0 };
             let heard = now < node.heard + secs(3);
             let waited = now.saturating_sub(node.since);
             match node.standing {
+                // Dropped from the list and nothing good from it any more, or never anything good: it is
+                // not there. A list that calls running servers gone, or adds some, costs nothing else.
+                _ if node.in_service() && node.run >= 1.0 && (node.stranger || (node.dropped && mute)) => {
+                    node.drop_out(false, now)
+                }
                 _ if node.in_service() && (dead || node.refused || (doubts >= 2.0 && quiet >= 1.5)) => {
                     self.withdraw(s, true)
                 }
@@ -244,7 +268,7 @@
                 {
                     failing.push(s);
                     // Failing, and slow in what it answers, is too much load and no fault: less weight.
-                    node.halved = node.apart || (node.times.count() >= 1.0 && time(node.times.mean()) > slow);
+                    node.halved = node.apart || (node.times.count() >= 1.0 && node.times.mean() > slow);
                 }
                 Held if waited >= secs(60) => node.enter(Withdrawn, now),
                 // With probes, one that was handled opens the probation.
@@ -346,9 +370,9 @@
                     at(&mut seen, 0).push((s, n.listed * f64::from(n.busy / n.tries), true));
                 }
             } else if n.work.count() >= 4.0 {
-                at(&mut seen, kind).push((s, n.listed * time(n.work.mean()), true));
+                at(&mut seen, kind).push((s, n.listed * n.work.mean(), true));
             } else if n.times.count() >= 8.0 {
-                at(&mut seen, kind).push((s, time(n.times.mean()), false));
+                at(&mut seen, kind).push((s, n.times.mean(), false));
             }
         }
         for peers in seen {
@@ -420,7 +444,7 @@
         for (k, times) in gate.times.iter_mut().enumerate() {
             let (tries, failed) = gate.met[k];
             gate.met[k] = (tries * 0.5, failed * 0.5);
-            let late = if times.count() < 10.0 { 0.0 } else { time(times.mean()) / slow };
+            let late = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
             // More than one failed try in seven is more than a few servers' trouble.
             gate.pressure[k] = late.max(failed / (tries + 1.0) / 0.15);
             times.halve();
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -42,8 +42,8 @@
 #[test]
 fn a_histogram_keeps_the_mean() {
     let mut times = Histogram::default();
-    times.add(place(0.1), 3.0);
-    assert!((time(times.mean()) - 0.1).abs() < 1e-4);
+    times.add(0.1, 3.0);
+    assert!((times.mean() - 0.1).abs() < 1e-4);
 }
 
 #[test]
@@ -103,9 +103,7 @@
 fn a_restart_under_the_same_id_ramps() {
     let mut planner = planner(vec![well(0)]);
     planner.listed_once = true;
-    let (mode, started) = (Mode::Ready, Some(NOW));
-    let entry = Entry { server: 0, zone: 0, kind: 0, cell: 0, mode, weight: 1.0, started };
-    planner.list(Listing::Changes, &[entry]);
+    planner.list(Listing::Changes, &[entry(Mode::Ready, Some(NOW))]);
     assert_eq!(standings(&planner), [Ramping]);
 }
 
@@ -116,6 +114,45 @@
     assert_eq!(standings(&planner), [Unlisted]);
 }
 
+fn entry(mode: Mode, started: Option<Duration>) -> Entry {
+    Entry { server: 0, zone: 0, kind: 0, cell: 0, mode, weight: 1.0, started }
+}
+
+fn under_marked_only(node: Node) -> Planner {
+    let mut planner = planner(vec![node, well(0), well(0)]);
+    planner.facts.0.insert("drain.marked_only".into(), Fact::Flag(true));
+    planner.listed_once = true;
+    planner
+}
+
+#[test]
+fn a_server_that_a_list_drops_goes_on_while_it_answers() {
+    let mut planner = under_marked_only(well(0));
+    planner.list(Listing::Changes, &[entry(Mode::Gone, None)]);
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Eligible);
+    planner.nodes[0] = Node { run: 1.0, good_at: NOW - secs(3), dropped: true, ..well(0) };
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Unlisted);
+}
+
+#[test]
+fn a_marked_drain_binds_whatever_the_list_says_next() {
+    let mut planner = under_marked_only(well(0));
+    planner.list(Listing::Changes, &[entry(Mode::Draining, None)]);
+    planner.list(Listing::Changes, &[entry(Mode::Gone, None)]);
+    assert_eq!(standings(&planner)[0], Unlisted);
+}
+
+#[test]
+fn a_listed_stranger_that_fails_first_is_not_there() {
+    let mut planner = under_marked_only(Node::default());
+    planner.list(Listing::Changes, &[entry(Mode::Ready, None)]);
+    planner.nodes[0].run = 1.0;
+    planner.judge();
+    assert_eq!(standings(&planner)[0], Unlisted);
+}
+
 #[test]
 fn an_empty_change_of_the_list_changes_nothing() {
     let mut planner = planner(vec![well(0)]);
@@ -193,7 +230,7 @@
 #[test]
 fn failing_and_slow_is_load_and_costs_half_the_weight() {
     let mut full = Node { failed: 14.0, ..well(0) };
-    full.times.add(place(3.0), 5.0);
+    full.times.add(3.0, 5.0);
     let mut planner = planner(vec![full, well(0), well(0), well(0)]);
     planner.facts = facts(&[("classes", 1.0), ("class.0.soft_limit", 1.0)]);
     planner.judge();
@@ -303,7 +340,7 @@
 fn times_with_the_waiting_in_them_settle_half_way() {
     let timed = |seconds| {
         let mut node = well(0);
-        node.times.add(place(seconds), 1e6);
+        node.times.add(seconds, 1e6);
         node
     };
     let mut planner = planner(vec![timed(0.4), timed(0.1)]);
@@ -342,7 +379,7 @@
 #[test]
 fn further_tries_are_cut_before_any_level() {
     let mut planner = leveled(vec![well(0)]);
-    planner.gate.times[0].add(place(3.0), 50.0);
+    planner.gate.times[0].add(3.0, 50.0);
     planner.gauge();
     assert!(planner.gate.tries_cut && planner.gate.limit.is_none());
 }
@@ -351,7 +388,7 @@
 fn a_cut_goes_below_what_is_handled() {
     let mut planner = leveled(vec![Node { flow: vec![40.0], ..well(0) }]);
     (planner.gate.tries_cut, planner.gate.beats) = (true, 9);
-    planner.gate.times[0].add(place(1.5), 50.0);
+    planner.gate.times[0].add(1.5, 50.0);
     planner.gauge();
     assert!(planner.gate.limit.is_some_and(|limit| (20.0..36.0).contains(&limit)));
 }
@@ -378,7 +415,7 @@
     let mut planner = leveled(vec![well(0)]);
     planner.facts.0.remove("levels.kind");
     planner.gate.tries_cut = true;
-    planner.gate.times[0].add(place(3.0), 50.0);
+    planner.gate.times[0].add(3.0, 50.0);
     planner.gauge();
     assert_eq!((planner.gate.apart, planner.gate.limit), (0b01, None));
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -29,14 +29,20 @@
     Held,
     Draining,
 }
-/// A small histogram: a few coarse bins at even places. What falls between two is split between them, so
-/// that the mean stays true.
+
+/// Takes in a new pace: the first as it is, later ones in part.
+pub fn blend(pace: &mut f64, new: f64, part: f64) {
+    *pace += (new - *pace) * if *pace > 0.0 { part } else { 1.0 };
+}
+
+/// A small histogram of times on doubling bins from 20 ms, which spans any query that has a limit of
+/// seconds. What falls between two bins is split between them, so that the mean stays true.
 #[derive(Debug, Clone, Default)]
 pub struct Histogram([f32; 10]);
 
 impl Histogram {
-    pub fn add(&mut self, place: f64, weight: f32) {
-        let place = place.clamp(0.0, 8.999);
+    pub fn add(&mut self, seconds: f64, weight: f32) {
+        let place = (seconds / 0.02).max(1.0).log2().min(8.999);
         let part = place.fract() as f32;
         self.0[place as usize] += weight * (1.0 - part);
         self.0[place as usize + 1] += weight * part;
@@ -50,10 +56,10 @@
         self.0.iter().sum()
     }
 
-    /// The mean place.
+    /// The time at the mean place, seconds.
     pub fn mean(&self) -> f64 {
         let places: f32 = self.0.iter().enumerate().map(|(k, bin)| k as f32 * bin).sum();
-        f64::from(places / self.count().max(f32::MIN_POSITIVE))
+        0.02 * f64::from(places / self.count().max(f32::MIN_POSITIVE)).exp2()
     }
 }
 
@@ -62,6 +68,10 @@
     pub zone: Zone,
     pub kind: usize,
     pub listed: f64,
+    /// Dropped from the list, but in service as before.
+    pub dropped: bool,
+    /// Listed as old though it was not there before, and nothing good heard of it yet.
+    pub stranger: bool,
     pub standing: Standing,
     pub since: Duration,
     pub started: Option<Duration>,
@@ -96,25 +106,6 @@
     pub out: bool,
 }
 
-impl Node {
-    pub fn in_service(&self) -> bool {
-        matches!(self.standing, Standing::Unknown | Standing::Eligible | Standing::Ramping)
-    }
-
-    pub fn ready(&self) -> bool {
-        !matches!(self.standing, Standing::Unlisted | Standing::Draining)
-    }
-
-    pub fn enter(&mut self, standing: Standing, now: Duration) {
-        (self.standing, self.since) = (standing, now);
-        if standing == Standing::Ramping {
-            // What was held against it belongs to the time before.
-            (self.tries, self.failed, self.run, self.unanswered) = (0.0, 0.0, 0.0, 0);
-            (self.refused, self.hard) = (false, false);
-        }
-    }
-}
-
 #[derive(Debug, Default)]
 pub struct Joined {
     pub here: bool,
