Groups with a table each where the channel can't lay one table at once; four looks a second

Cause, at full size: one table of 500 servers for 150 proxies is eight seconds of the channel, every proxy opens connections to every server until they run out (64% of the attempts got none), a weight costs a line at all proxies, and a probe that stayed out was sent again at every event (723 a second). Now proxies and servers are dealt into groups where a table takes the channel more than 0.4 s, by zone where proxies come to a planner by chance; servers follow the load. Judging waits for one of four looks a second, one probe at a time. A line out of a table is enough for bound proxies; withdrawals are for unbound ones.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,13 +6,15 @@
 
 use crate::interface::{Class, Proxy, Server, Table};
 use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
-use crate::state::{at, blend, Channel, Flying, Gate, Joined, Node, Standing, Standing::*};
+use crate::state::{at, blend, Channel, Flying, Gate, Group, Joined, Node, Standing, Standing::*};
 use nanorand::{Rng, WyRand};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// The table that every proxy is bound to, and the one for classes that are set apart. Any numbers do.
-const TABLES: [Table; 2] = [1, 2];
+/// A group's table, and the one for its classes that are set apart. Any numbers do.
+fn table(group: usize, apart: bool) -> Table {
+    (2 * group + 1 + usize::from(apart)) as Table
+}
 
 const fn secs(n: u64) -> Duration {
     Duration::from_secs(n)
@@ -55,14 +57,16 @@
     proxies: Vec<Joined>,
     channel: Channel,
     gate: Gate,
+    /// The servers and proxies that share a table; one group of all unless the fleet is too large for that.
+    groups: Vec<Group>,
     next_beat: Duration,
     halved_at: Duration,
     listed_once: bool,
     token: u64,
     /// A beat's deltas wait to be sent.
     due: bool,
-    /// A proxy came that no withdrawal sent so far reaches.
-    again: bool,
+    /// Something came that can't wait for the next look.
+    pressing: bool,
     /// Lines for the operators' log.
     told: Vec<String>,
 }
@@ -76,17 +80,21 @@
         if self.chance.is_none() {
             return orders;
         }
-        // Once a second, as the design has it.
-        let beat = now >= self.next_beat;
-        self.judge();
-        self.floor();
-        if beat {
-            self.next_beat = now + secs(1);
-            self.weigh();
-            self.gauge();
-        }
-        self.probe(&mut orders);
-        self.send(beat, &mut orders);
+        // Reports only add up between the looks: a large fleet's come in every few milliseconds.
+        if std::mem::take(&mut self.pressing) {
+            // Once a second, as the design has it.
+            let beat = now >= self.next_beat;
+            self.judge();
+            self.floor();
+            if beat {
+                self.next_beat = now + secs(1);
+                self.weigh();
+                self.gauge();
+            }
+            self.probe(&mut orders);
+            self.deal(beat);
+            self.send(beat, &mut orders);
+        }
         orders.extend(self.told.drain(..).map(|text| Order::Log { text }));
         orders
     }
@@ -108,14 +116,12 @@
             }
             Event::Listed { how: Listing::Failed, .. } => orders.push(Order::Subscribe { on: true }),
             Event::Listed { how, entries } => self.list(*how, entries),
-            Event::Joined { proxy, fresh, rate, .. } => {
+            Event::Joined { proxy, fresh, rate, zone } => {
                 let (old, classes) = (!fresh, self.fact("classes", 0.0));
                 let came = vec![rate / classes; classes as usize];
                 *at(&mut self.proxies, *proxy) =
-                    Joined { here: true, old, at: now, came, ..Joined::default() };
-                // What it holds may name servers that are out; until it is bound, only a
-                // withdrawal ordered from now on keeps it from them.
-                self.again |= old;
+                    Joined { here: true, old, at: now, zone: *zone, came, ..Joined::default() };
+                self.pressing = true;
             }
             Event::Left { proxy } => {
                 *at(&mut self.proxies, *proxy) = Joined::default();
@@ -151,6 +157,7 @@
             Event::Probed { server, found, load, .. } => {
                 self.loaded(*server, load);
                 let node = at(&mut self.nodes, *server);
+                node.asked = false;
                 match found {
                     Found::Handled => {
                         (node.unanswered, node.refused) = (0, false);
@@ -170,6 +177,7 @@
             }
             Event::Woken { token } if *token == self.token => {
                 self.token += 1;
+                self.pressing = true;
                 // Four looks a beat: what waits for room in the channel goes out soon after there is some.
                 orders.push(Order::Wake { after: Duration::from_millis(250), token: self.token });
             }
@@ -191,7 +199,7 @@
 
     fn list(&mut self, how: Listing, entries: &[Entry]) {
         let (now, first, stays) = (self.now, !self.listed_once, self.facts.flag("drain.marked_only"));
-        self.listed_once = true;
+        (self.listed_once, self.pressing) = (true, true);
         for e in entries {
             let node = at(&mut self.nodes, e.server);
             let known = node.listed > 0.0 && e.started <= node.started;
@@ -281,12 +289,13 @@
                 _ => {}
             }
         }
-        for &s in &failing {
-            let zone = self.nodes[s].zone;
-            let together = failing.iter().filter(|f| self.nodes[**f].zone == zone).count();
-            let ready = self.nodes.iter().filter(|n| n.zone == zone && n.ready()).count();
+        // Ready servers less two for each that fails, by zone.
+        let mut rest: Vec<i64> = Vec::new();
+        self.nodes.iter().filter(|n| n.ready()).for_each(|n| *at(&mut rest, n.zone) += 1);
+        failing.iter().for_each(|s| *at(&mut rest, self.nodes[*s].zone) -= 2);
+        for s in failing {
             // Most of a zone failing together points at what they share: less weight, no withdrawal.
-            self.nodes[s].halved |= together * 2 > ready;
+            self.nodes[s].halved |= rest[self.nodes[s].zone] < 0;
             if !self.nodes[s].halved {
                 self.withdraw(s, false);
             }
@@ -310,18 +319,20 @@
     /// nothing good at all stay out while half of the whole fleet is in service: returned, a dead zone
     /// would only take queries from the living ones.
     fn floor(&mut self) {
-        let low = |of: &dyn Fn(&&Node) -> bool| {
-            let ready = self.nodes.iter().filter(|n| n.ready()).filter(of);
-            let (all, serving) = ready.fold((0, 0), |(a, s), n| (a + 1, s + usize::from(n.in_service())));
-            serving * 2 < all
-        };
-        let fleet_low = low(&|_| true);
-        let lows: Vec<bool> = self.nodes.iter().map(|node| low(&|n| n.zone == node.zone)).collect();
+        // Ready servers, and those in service, by zone and, last, of the fleet.
+        let fleet = self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0);
+        let mut seen = vec![(0, 0); fleet + 1];
+        for node in self.nodes.iter().filter(|n| n.ready()) {
+            for z in [node.zone, fleet] {
+                seen[z] = (seen[z].0 + 1, seen[z].1 + usize::from(node.in_service()));
+            }
+        }
+        let low = |z: usize| seen[z].1 * 2 < seen[z].0;
         let none = !(0..self.nodes.len()).any(|s| self.nodes[s].in_service() && self.ramp(s) > 0.0);
-        for (node, low) in self.nodes.iter_mut().zip(lows).filter(|(n, _)| n.ready() && !n.in_service()) {
+        for node in self.nodes.iter_mut().filter(|n| n.ready() && !n.in_service()) {
             // Five seconds out, so that a dead server is not let in again at every look.
             let rested = self.now >= node.since + secs(5);
-            if none || (rested && (fleet_low || (low && !node.hard))) {
+            if none || (rested && (low(fleet) || (low(node.zone) && !node.hard))) {
                 node.enter(Ramping, self.now);
             }
         }
@@ -340,7 +351,7 @@
             // Where the others are full, proxies shun them and heap what they have on the fresh one. So the
             // harder pressed the fleet, the warmer a server must be to be let in, and to stay. Its first
             // second or two never pay.
-            let new = node.out || node.sent == [None, None];
+            let new = node.sent.is_none();
             if age < 1.0 && least < (0.2 * self.gate.pressure[0]).max(if new { 0.4 } else { 0.0 }) {
                 return 0.0;
             }
@@ -560,37 +571,125 @@
         let (now, allowed) = (self.now, self.facts.flag("probes.allowed"));
         for (s, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| allowed && n.ready()) {
             // Every two seconds, well under a hundredth of a server's work; after the first probe that
-            // stays without an answer, the next at once.
-            let every = secs(if node.in_service() && node.unanswered == 1 { 0 } else { 2 });
+            // stays without an answer, the next at once. One at a time: what is full has no room for them.
+            let every = secs(if node.in_service() && node.unanswered == 1 && !node.asked { 0 } else { 2 });
             if node.probed == Duration::ZERO {
                 // Spread over the first two seconds.
                 let spread = self.chance.as_mut().map_or(0, |c| c.generate_range(0..2000));
                 node.probed = now.saturating_sub(Duration::from_millis(spread)).max(Duration::from_nanos(1));
             } else if now >= node.probed + every {
-                node.probed = now;
+                (node.probed, node.asked) = (now, true);
                 orders.push(Order::Probe { server: s });
             }
         }
     }
 
-    /// Chooses the servers for the classes set apart: the first in service, up to their part. Never a cold
-    /// one, which the crowd would push over, and never the last: too small a fleet is not parted.
+    /// Deals proxies and servers into groups, each with a table of its own. A departure (docs/design.md):
+    /// one table of all servers for all proxies, wherever the channel can lay that table at once.
+    fn deal(&mut self, beat: bool) {
+        let (ready, joined) = (self.nodes.iter().filter(|n| n.ready()).count() as f64, self.proxies.len());
+        if self.groups.is_empty() && ready > 0.0 && joined > 0 {
+            let proxies = self.fact("proxies", 0.0) / self.fact("planners", 1.0);
+            // Seconds of the channel that a table of all takes, over the four tenths that one may.
+            let parts = ready * proxies / self.fact("channel.pace", f64::INFINITY) / 0.4;
+            // Where proxies come to a planner by chance, those here tell how much each zone gets.
+            let zones = if self.facts.flag("home_first") { 1.0 } else { self.fact("zones", 1.0).max(1.0) };
+            let count = if parts <= 1.25 { 1.0 } else { (parts / zones).ceil() * zones };
+            for g in 0..count as usize {
+                let zone = (zones > 1.0 && count > 1.0).then_some(g % zones as usize);
+                self.groups.push(Group { zone, ..Group::default() });
+            }
+        }
+        if self.groups.is_empty() {
+            return;
+        }
+        for group in &mut self.groups {
+            (group.load, group.weight, group.servers, group.bound) = (0.1, 0.0, 0, 0.0);
+        }
+        // The proxies: one that came goes to the group of its zone that has least to do, and stays.
+        for proxy in self.proxies.iter_mut().filter(|p| p.here) {
+            let fits = |group: &Group| group.zone.is_none_or(|z| z == proxy.zone);
+            let least = (0..self.groups.len()).min_by(|a, b| {
+                let key = |g: usize| (!fits(&self.groups[g]), self.groups[g].load);
+                key(*a).partial_cmp(&key(*b)).unwrap_or(std::cmp::Ordering::Equal)
+            });
+            let group = *proxy.group.get_or_insert(least.unwrap_or(0));
+            self.groups[group].load += proxy.came.iter().sum::<f64>();
+            self.groups[group].bound += f64::from(u8::from(proxy.bound.is_some()));
+        }
+        // The servers: a new one goes to the group of its zone that has fewest.
+        for s in 0..self.nodes.len() {
+            let weight = if self.nodes[s].in_service() { self.weight(s) } else { 0.0 };
+            let node = &mut self.nodes[s];
+            let fits = |group: &Group| group.zone.is_none_or(|z| z == node.zone);
+            if node.ready() && node.group.is_none() {
+                let key = |g: &usize| (!fits(&self.groups[*g]), self.groups[*g].servers);
+                node.group = (0..self.groups.len()).min_by_key(key);
+            }
+            if let Some(group) = node.group {
+                self.groups[group].servers += usize::from(node.ready());
+                self.groups[group].weight += weight;
+            }
+        }
+        if beat || self.groups.iter().any(|g| g.weight <= 0.0) {
+            self.balance();
+        }
+    }
+
+    /// Servers go where there is most to do for the weight, one by one, while that evens things out.
+    fn balance(&mut self) {
+        let by_plenty = |a: &&(f64, usize), b: &&(f64, usize)| a.0.total_cmp(&b.0);
+        for _ in 0..self.nodes.len() {
+            let plenty = |(g, group): (usize, &Group)| (group.weight / group.load, g);
+            let all: Vec<(f64, usize)> = self.groups.iter().enumerate().map(plenty).collect();
+            let (Some(&(least, poor)), Some(&(most, rich))) =
+                (all.iter().min_by(by_plenty), all.iter().max_by(by_plenty))
+            else {
+                return;
+            };
+            // A fifth apart is within what a few seconds of reports tell.
+            if most < least * 1.2 {
+                return;
+            }
+            let (from, to) = (self.groups[rich].zone, self.groups[poor].zone);
+            let movable = |s: &Server| self.nodes[*s].group == Some(rich) && self.nodes[*s].in_service();
+            // Home first, then away from where it is a guest.
+            let key = |s: &Server| {
+                let zone = Some(self.nodes[*s].zone);
+                (zone != to, zone == from, self.nodes[*s].started.is_some())
+            };
+            let Some(s) = (0..self.nodes.len()).filter(movable).min_by_key(key) else { return };
+            let weight = self.weight(s);
+            if (self.groups[rich].weight - weight) / self.groups[rich].load < least {
+                return;
+            }
+            self.nodes[s].group = Some(poor);
+            self.groups[rich].weight -= weight;
+            self.groups[poor].weight += weight;
+        }
+    }
+
+    /// Chooses the servers for the classes set apart: a group's first in service, up to their part. Never a
+    /// cold one, which the crowd would push over, and never the last: too small a group is not parted.
     fn part(&mut self) {
-        let warm = |s: &Server| self.nodes[*s].in_service() && self.ramp(*s) >= 1.0;
-        let open: Vec<Server> = (0..self.nodes.len()).filter(warm).collect();
-        if open.len() < 4 {
-            self.gate.apart = 0;
-        }
-        let weights: Vec<f64> = open.iter().map(|s| self.weight(*s)).collect();
-        let mut left = weights.iter().sum::<f64>() * self.gate.part;
-        self.nodes.iter_mut().for_each(|n| n.apart = false);
-        for (s, weight) in open.iter().zip(weights).skip(1) {
-            self.nodes[*s].apart = self.gate.apart != 0 && left > 0.0;
-            left -= weight;
+        for g in 0..self.groups.len() {
+            let of = |s: &Server| self.nodes[*s].group == Some(g);
+            let warm = |s: &Server| of(s) && self.nodes[*s].in_service() && self.ramp(*s) >= 1.0;
+            let open: Vec<Server> = (0..self.nodes.len()).filter(warm).collect();
+            if open.len() < 4 {
+                self.gate.apart = 0;
+            }
+            let weights: Vec<f64> = open.iter().map(|s| self.weight(*s)).collect();
+            let mut left = weights.iter().sum::<f64>() * self.gate.part;
+            self.nodes.iter_mut().filter(|n| n.group == Some(g)).for_each(|n| n.apart = false);
+            for (s, weight) in open.iter().zip(weights).skip(1) {
+                self.nodes[*s].apart = self.gate.apart != 0 && left > 0.0;
+                left -= weight;
+            }
         }
     }
 
-    /// Owns all orders to proxies: withdrawals first, then lines, levels and binds, as far as the channel
+    /// Owns all orders to proxies: what is out first, then lines, levels and binds, as far as the channel
     /// and each proxy's count of messages allow.
     fn send(&mut self, beat: bool, orders: &mut Vec<Order>) {
         let now = self.now;
@@ -613,113 +712,162 @@
         // Where messages are counted, one to all goes out every so often with all that is due, so that two
         // are always left: a drain waits a second at most, and never for its turn in the count.
         let wait = most > 0.0 && now < self.channel.last + over.div_f64((most - 2.0).max(1.0));
-        let mut room = free;
         self.due |= beat;
         let ordinary = self.due && !wait;
         self.due &= wait;
-        let open = |n: &&Node| n.in_service() && !n.out;
-        let sides = |apart| self.nodes.iter().filter(open).any(|n| n.apart == apart);
-        if ordinary || (self.gate.apart != 0 && !(sides(true) && sides(false))) {
-            self.part();
-        }
         // Where keys fall into slices only withdrawals are ordered so far (docs/design.md).
         let sliced = self.fact("slices", 0.0) > 0.0;
-        let (before, again) = (orders.len(), self.again);
-        let all = if wait { 0 } else { self.nodes.len() };
-        let weights: Vec<f64> = (0..all).map(|s| self.weight(s)).collect();
-        for (s, &weight) in weights.iter().enumerate() {
-            let node = &mut self.nodes[s];
-            let open = node.in_service() && weight > 0.0;
-            if (open == node.out || (again && !open)) && room >= 3.0 * count {
-                if open && !sliced {
-                    node.apart = false;
-                    node.sent[0] = Some(weight);
-                    orders.push(Order::Line { table: TABLES[0], server: s, weight });
-                    if node.sent[1].take().is_some() {
-                        orders.push(Order::Line { table: TABLES[1], server: s, weight: 0.0 });
-                    }
-                }
-                (node.out, self.again) = (!open, false);
-                orders.push(Order::Withdraw { server: s, out: !open });
-                room -= 3.0 * count;
+        if ordinary || (self.gate.apart != 0 && !self.parted()) {
+            self.part();
+        }
+        let mut room = free;
+        let mut reached = BTreeSet::new();
+        if !wait {
+            let to_all = self.withdrawals(sliced, count, &mut room, orders);
+            let lines = if sliced { BTreeSet::new() } else { self.lines(ordinary, &mut room, orders) };
+            let to_all = (ordinary && !sliced && self.send_levels(count, &mut room, orders)) || to_all;
+            let concerned = |p: &Proxy| {
+                let proxy = &self.proxies[*p];
+                to_all || (proxy.bound.is_some() && proxy.group.is_some_and(|g| lines.contains(&g)))
+            };
+            reached = joined.iter().copied().filter(concerned).collect();
+            self.channel.last = if reached.is_empty() { self.channel.last } else { now };
+        }
+        self.binds(ordinary, &joined, &mut room, &mut reached, orders);
+        if !reached.is_empty() {
+            reached.iter().for_each(|p| self.proxies[*p].messages.push_back(now));
+            self.channel.mark = self.channel.mark.wrapping_add(1);
+            let (mark, lines) = (self.channel.mark, free - room + head * reached.len() as f64);
+            orders.push(Order::Mark { mark, everyone: false });
+            self.channel.flying.push_back(Flying { mark, lines, at: now, awaited: reached });
+        }
+    }
+
+    /// Each group that is parted has servers on both sides.
+    fn parted(&self) -> bool {
+        let open = |g: usize, apart: bool| {
+            let of = |n: &Node| n.group == Some(g) && n.in_service() && n.sent.is_some();
+            self.nodes.iter().any(|n| of(n) && n.apart == apart)
+        };
+        (0..self.groups.len()).all(|g| open(g, true) && open(g, false))
+    }
+
+    /// Shuts what is out of service out of the tables of before, which unbound proxies hold; bound ones
+    /// follow their own table's lines.
+    fn withdrawals(&mut self, sliced: bool, count: f64, room: &mut f64, orders: &mut Vec<Order>) -> bool {
+        let unbound = sliced || self.proxies.iter().any(|p| p.here && p.bound.is_none());
+        let before = orders.len();
+        for (server, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| n.listed > 0.0) {
+            let out = !node.in_service();
+            if out != node.out && (unbound || !out) && *room >= 2.0 * count {
+                node.out = out;
+                orders.push(Order::Withdraw { server, out });
+                *room -= count;
             }
         }
-        for (s, &weight) in weights.iter().enumerate() {
-            let node = &mut self.nodes[s];
-            let open = node.in_service() && weight > 0.0 && !sliced;
-            for (t, table) in TABLES.into_iter().enumerate() {
-                let mine = usize::from(node.apart) == t;
-                let ratio = weight / node.sent[t].unwrap_or(f64::MIN_POSITIVE);
-                // A change of an eighth is under what reports tell; a halving can't wait.
-                let due =
-                    node.sent[t].is_none() || ratio < 0.5 || (ordinary && !(0.88..1.13).contains(&ratio));
-                let dropped = node.standing == Unlisted || (open && !mine);
-                if open && mine && due && room >= count {
-                    node.sent[t] = Some(weight);
-                    orders.push(Order::Line { table, server: s, weight });
-                    room -= count;
-                } else if ordinary && dropped && room >= count && node.sent[t].take().is_some() {
-                    orders.push(Order::Line { table, server: s, weight: 0.0 });
-                    room -= count;
-                }
+        orders.len() > before
+    }
+
+    /// Sets the lines that are most off first, what is out before all. Returns the groups concerned.
+    fn lines(&mut self, ordinary: bool, room: &mut f64, orders: &mut Vec<Order>) -> BTreeSet<usize> {
+        let mut wanted: Vec<(f64, Server, Option<(Table, f64)>)> = Vec::new();
+        for (s, node) in self.nodes.iter().enumerate() {
+            let weight = if node.in_service() { self.weight(s) } else { 0.0 };
+            let group = node.group.filter(|_| weight > 0.0);
+            let line = group.map(|group| (table(group, node.apart), weight));
+            let off = match (node.sent, line) {
+                (Some(_), None) => f64::MAX,
+                (None, Some(_)) => 9.0,
+                (Some(old), Some(new)) if old.0 != new.0 => 8.0,
+                (Some(old), Some(new)) => (new.1 / old.1).ln().abs(),
+                (None, None) => 0.0,
+            };
+            // A change of an eighth is under what reports tell; a halving can't wait.
+            if off > if ordinary { 0.12 } else { 0.69 } {
+                wanted.push((off, s, line));
             }
         }
-        for (class, (level, tries)) in self.levels().into_iter().enumerate().filter(|_| ordinary && !sliced) {
+        wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let mut concerned = BTreeSet::new();
+        let group = |table: Table| (usize::from(table) - 1) / 2;
+        for (_, server, line) in wanted {
+            let gone = self.nodes[server].sent.filter(|old| line.is_none_or(|new| new.0 != old.0));
+            let lines = gone.map(|old| (old.0, 0.0)).into_iter().chain(line);
+            let cost: f64 = lines.clone().map(|(table, _)| self.groups[group(table)].bound).sum();
+            if cost > *room {
+                break;
+            }
+            *room -= cost;
+            for (table, weight) in lines {
+                orders.push(Order::Line { table, server, weight });
+                concerned.insert(group(table));
+            }
+            self.nodes[server].sent = line;
+        }
+        concerned
+    }
+
+    fn send_levels(&mut self, count: f64, room: &mut f64, orders: &mut Vec<Order>) -> bool {
+        let before = orders.len();
+        for (class, (level, tries)) in self.levels().into_iter().enumerate() {
             let old = self.gate.sent.get(class).copied();
             let near = |a: Option<f64>| match (a, level) {
                 (Some(a), Some(b)) => (0.93..1.07).contains(&(b / a)),
                 (a, b) => a == b,
             };
-            if !old.is_some_and(|o| near(o.0) && o.1 == tries) && room >= 2.0 * count {
+            if !old.is_some_and(|o| near(o.0) && o.1 == tries) && *room >= 2.0 * count {
                 self.gate.sent.truncate(self.gate.sent.len().max(class));
                 if old.is_some() {
                     self.gate.sent[class] = (level, tries);
                 } else if self.gate.sent.len() == class {
                     self.gate.sent.push((level, tries));
                 }
-                let all = TABLES.map(|table| Order::Level { table, class, level, tries });
-                orders.extend(all);
-                room -= 2.0 * count;
-            }
-        }
-        let everyone = orders.len() > before;
-        let lines = self.nodes.iter().flat_map(|n| n.sent).flatten().count() as f64;
-        let mut reached = if everyone { joined.clone() } else { BTreeSet::new() };
-        let apart = self.gate.apart;
-        let (leveled, grace) = (self.leveled(), self.facts.span("drain.grace").unwrap_or_default());
-        let cost = 2.0 + 2.0 * lines + 2.0 * self.gate.sent.len() as f64;
-        for &p in joined.iter().filter(|_| lines > 0.0) {
+                let tables = (0..self.groups.len()).flat_map(|g| [table(g, false), table(g, true)]);
+                orders.extend(tables.map(|table| Order::Level { table, class, level, tries }));
+                *room -= 2.0 * count;
+            }
+        }
+        orders.len() > before
+    }
+
+    fn binds(
+        &mut self,
+        ordinary: bool,
+        joined: &BTreeSet<Proxy>,
+        room: &mut f64,
+        reached: &mut BTreeSet<Proxy>,
+        orders: &mut Vec<Order>,
+    ) {
+        let (apart, leveled) = (self.gate.apart, self.leveled());
+        let grace = self.facts.span("drain.grace").unwrap_or_default();
+        let mut lines = vec![0.0; self.groups.len()];
+        let laid = self.nodes.iter().filter(|n| n.sent.is_some());
+        laid.filter_map(|n| n.group).for_each(|g| lines[g] += 1.0);
+        for &p in joined {
+            let Some(group) = self.proxies[p].group.filter(|g| lines[*g] > 0.0) else { continue };
+            let cost = 2.0 + 2.0 * lines[group] + 2.0 * self.gate.sent.len() as f64;
             let bound = self.proxies[p].bound;
             // A proxy that holds a table of before keeps it until reports tell how much it lets in, but no
             // longer than half the grace: only a bind rids it of servers that this list never had.
             let old = self.proxies[p].old && self.gate.beats < 2 && leveled;
-            if bound.is_none() && old && now < self.proxies[p].at + grace / 2 {
+            if bound.is_none() && old && self.now < self.proxies[p].at + grace / 2 {
                 continue;
             }
-            if bound == Some(apart) || (bound.is_some() && !ordinary && apart != 0) || room < cost {
+            if bound == Some(apart) || (bound.is_some() && !ordinary && apart != 0) || *room < cost {
                 continue;
             }
             // All classes at first; then those that changed sides.
             if bound.is_none_or(|b| b & !apart != 0) {
                 let classes = bound.map_or(0, |b| b & !apart);
-                orders.push(Order::Bind { proxy: p, table: TABLES[0], classes });
+                orders.push(Order::Bind { proxy: p, table: table(group, false), classes });
             }
             if apart & !bound.unwrap_or(0) != 0 {
                 let classes = apart & !bound.unwrap_or(0);
-                orders.push(Order::Bind { proxy: p, table: TABLES[1], classes });
+                orders.push(Order::Bind { proxy: p, table: table(group, true), classes });
             }
             self.proxies[p].bound = Some(apart);
             reached.insert(p);
-            room -= cost;
-        }
-        if !reached.is_empty() {
-            self.channel.last = if everyone { now } else { self.channel.last };
-            reached.iter().for_each(|p| self.proxies[*p].messages.push_back(now));
-            self.channel.mark = self.channel.mark.wrapping_add(1);
-            orders.push(Order::Mark { mark: self.channel.mark, everyone });
-            let lines = free - room + head * reached.len() as f64;
-            let mark = self.channel.mark;
-            self.channel.flying.push_back(Flying { mark, lines, at: now, awaited: reached });
+            *room -= cost;
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a planner keeps in mind. No decision is made here: `logic.rs` makes them all.
 
-use crate::interface::{FurtherTries, Proxy, Zone};
+use crate::interface::{FurtherTries, Proxy, Table, Zone};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -92,7 +92,9 @@
     pub deaf_until: Duration,
     pub refused: bool,
     pub unanswered: u32,
+    /// When it was last probed, and whether that probe is out.
     pub probed: Duration,
+    pub asked: bool,
     /// What withdrew it was hard evidence: nothing good came from it at all.
     pub hard: bool,
     pub halved: bool,
@@ -101,14 +103,30 @@
     pub swift: f64,
     /// For the classes set apart.
     pub apart: bool,
-    /// Its weight in each table, and whether it is shut out, as sent.
-    pub sent: [Option<f64>; 2],
+    pub group: Option<usize>,
+    /// The table that it is in and its weight there, and whether it is shut out of all, as sent.
+    pub sent: Option<(Table, f64)>,
     pub out: bool,
 }
 
+/// Servers and proxies that share a table.
+#[derive(Debug, Default)]
+pub struct Group {
+    /// Whose proxies and, as far as they suffice, servers it has; `None`: any.
+    pub zone: Option<Zone>,
+    /// Queries a second that come to its proxies, and the weight and number of its servers.
+    pub load: f64,
+    pub weight: f64,
+    pub servers: usize,
+    /// Proxies that are on its table.
+    pub bound: f64,
+}
+
 #[derive(Debug, Default)]
 pub struct Joined {
     pub here: bool,
+    pub zone: Zone,
+    pub group: Option<usize>,
     /// It came with tables of before, and when.
     pub old: bool,
     pub at: Duration,
