--- a/src/logic.rs
+++ b/src/logic.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// A line of a table, without its server.
+type Line = (Table, f64);
+
 /// One planner; it starts empty.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -770,7 +773,7 @@
 
     /// Sets the lines that are most off first, what is out before all. Returns the groups concerned.
     fn lines(&mut self, ordinary: bool, room: &mut f64, orders: &mut Vec<Order>) -> BTreeSet<usize> {
-        let mut wanted: Vec<(f64, Server, Option<(Table, f64)>)> = Vec::new();
+        let mut wanted: Vec<(f64, Server, Option<Line>)> = Vec::new();
         for (s, node) in self.nodes.iter().enumerate() {
             let weight = if node.in_service() { self.weight(s) } else { 0.0 };
             let group = node.group.filter(|_| weight > 0.0);
