Gauge: failures press only where the good answers are slow too

Cause: connections that can't be set up, or sick servers, fail a seventh of the tries while what is answered is as quick as ever; levels were cut, connections went idle, and the next ones failed. Holds against dear handshakes, lossy ways, fast errors; may cut late where a full server refuses at once and answers quickly.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -459,8 +459,9 @@
             let (tries, failed) = gate.met[k];
             gate.met[k] = (tries * 0.5, failed * 0.5);
             let late = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
-            // More than one failed try in seven is more than a few servers' trouble.
-            gate.pressure[k] = late.max(failed / (tries + 1.0) / 0.15);
+            // More than one failed try in seven is more than a few servers' trouble; where the rest is as
+            // quick as ever, it is no overload either, and letting in less would not help.
+            gate.pressure[k] = late.max((failed / (tries + 1.0) / 0.15).min(late * 1.6));
             times.halve();
         }
         let pressure = gate.pressure[0];
