--- a/src/logic.rs
+++ b/src/logic.rs
@@ -485,6 +485,10 @@
         if gate.beats >= 3 && pressed < 1.0 {
             blend(&mut gate.best, gate.handled / fleet / pressed.max(0.4).sqrt(), 0.15);
         }
+        if gate.beats >= 1 && pressure < 0.85 && gate.limit.is_none_or(|l| l >= came) {
+            // What has come for some seconds without pressing it, it can handle whatever the guess says.
+            blend(&mut gate.usual, came / fleet, 0.2);
+        }
         let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
@@ -522,7 +526,8 @@
                     l => l * step,
                 };
                 // Three seconds of reports make the guess fit to bind.
-                let most = if gate.beats < 4 { f64::MAX } else { gate.best * fleet * room };
+                let most =
+                    if gate.beats < 4 { f64::MAX } else { (gate.best * room).max(gate.usual * 1.1) * fleet };
                 gate.limit = Some(rise.min(came * 1.3).min(most));
             }
             gate.part = (gate.part * step).min(0.8);
--- a/src/state.rs
+++ b/src/state.rs
@@ -189,6 +189,8 @@
     /// Beats with reports since the start.
     pub beats: u32,
     pub best: f64,
+    /// What came for some seconds without pressing the fleet, by its weight.
+    pub usual: f64,
     /// The pressure fell since the last cut.
     pub eased: bool,
     /// What the fleet could handle when a cut was needed; 0 when none was.
