Weights: where several planners send, busyness over the weight given tells capacity

All planners see the same busyness and give much the same weights, so busyness over weight is what a unit costs; taken up by a tenth a second, since it answers to the weight itself. May drift where planners' weights differ much.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -379,9 +379,11 @@
         let mut seen: Vec<Vec<(Server, f64, bool)>> = Vec::new();
         for (s, n) in self.nodes.iter().enumerate().filter(|(_, n)| n.in_service()) {
             let kind = n.kind + 1;
-            if alone && n.busy > 0.05 {
+            if n.busy > 0.05 {
+                // Other planners' tries keep it busy too: all give it much the same weight.
+                let tries = if alone { f64::from(n.tries) / n.listed } else { n.swift };
                 if n.tries >= 8.0 && n.standing != Ramping {
-                    at(&mut seen, 0).push((s, n.listed * f64::from(n.busy / n.tries), true));
+                    at(&mut seen, 0).push((s, f64::from(n.busy) / tries, true));
                 }
             } else if n.work.count() >= 4.0 {
                 at(&mut seen, kind).push((s, n.listed * n.work.mean(), true));
@@ -396,7 +398,8 @@
                 let lag = (mean - time.ln()).clamp(-1.0, 1.0);
                 // Times with the waiting in them answer to the weight itself, seconds late: half of what they
                 // say, taken up slowly, does not swing.
-                let (goal, pace) = if direct { (lag, 0.2) } else { (lag * 0.5, 0.1) };
+                let goal = if direct { lag } else { lag * 0.5 };
+                let pace = if direct && alone { 0.2 } else { 0.1 };
                 let step = (goal - swift.ln()) * pace;
                 *swift = (*swift * step.exp()).clamp(0.4, 2.0);
             }
