Groups of ten servers where a table of all takes the channel three tenths of a second

Cause: with 25 servers to a table, a proxy that gets two queries a second still lets its connections go idle, and every query sets one up.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -605,11 +605,12 @@
         let (ready, joined) = (self.nodes.iter().filter(|n| n.ready()).count() as f64, self.proxies.len());
         if self.groups.is_empty() && ready > 0.0 && joined > 0 {
             let proxies = self.fact("proxies", 0.0) / self.fact("planners", 1.0);
-            // Seconds of the channel that a table of all takes, over the four tenths that one may.
-            let parts = ready * proxies / self.fact("channel.pace", f64::INFINITY) / 0.4;
+            // Seconds of the channel that a table of all takes.
+            let lay = ready * proxies / self.fact("channel.pace", f64::INFINITY);
             // Where proxies come to a planner by chance, those here tell how much each zone gets.
             let zones = if self.facts.flag("home_first") { 1.0 } else { self.fact("zones", 1.0).max(1.0) };
-            let count = if parts <= 1.25 { 1.0 } else { (parts / zones).ceil() * zones };
+            // Ten servers are few enough that their connections stay open, and enough to lose some.
+            let count = if lay < 0.3 { 1.0 } else { (ready / 10.0 / zones).ceil() * zones };
             for g in 0..count as usize {
                 let zone = (zones > 1.0 && count > 1.0).then_some(g % zones as usize);
                 self.groups.push(Group { zone, ..Group::default() });
