--- a/src/logic.rs
+++ b/src/logic.rs
@@ -405,10 +405,10 @@
             }
         }
         // Three seconds hold some tens of tries at a server that gets a few a second; where they are fewer,
-        // the time that eight take, so that there is something to go by.
-        let serving = self.nodes.iter().filter(|n| n.in_service()).count() as f64;
-        let span = (8.0 * serving / self.gate.handled.max(0.1)).clamp(3.0, 12.0);
-        let halve = self.now >= self.halved_at + Duration::from_secs_f64(span);
+        // as long as sixteen take, so that there is something to go by.
+        let serving: Vec<f32> = self.nodes.iter().filter(|n| n.in_service()).map(|n| n.tries).collect();
+        let rich = serving.iter().sum::<f32>() >= 16.0 * serving.len() as f32;
+        let halve = self.now >= self.halved_at + secs(if rich { 3 } else { 12 });
         for node in &mut self.nodes {
             if halve {
                 (node.tries, node.failed) = (node.tries * 0.5, node.failed * 0.5);
