Gauge: failures alone step down from what is let in; a guess that holds itself back rises

Holds against dear handshakes, lossy ways, sick servers at ease; a fleet that refuses early and answers quickly is cut later.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -461,6 +461,7 @@
         // Picked by chance, queries queue at a lower load than in turns.
         let room = if self.facts.text("pick") == "chance" { 0.7 } else { 0.8 };
         let gate = &mut self.gate;
+        let mut slowness = [0.0; 2];
         for (k, times) in gate.times.iter_mut().enumerate() {
             let (tries, failed) = gate.met[k];
             gate.met[k] = (tries * 0.5, failed * 0.5);
@@ -469,8 +470,9 @@
             // quick as ever, it is no overload either, and letting in less would not help.
             gate.pressure[k] = late.max((failed / (tries + 1.0) / 0.15).min(late * 1.6));
             times.halve();
+            slowness[k] = late;
         }
-        let pressure = gate.pressure[0];
+        let (pressure, late) = (gate.pressure[0], slowness[0]);
         let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
         gate.eased |= pressure < 0.9;
         gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
@@ -484,18 +486,21 @@
             // Until then no more than usually comes, lest repeats that old levels held back flood in.
             gate.limit = Some(came);
         }
-        // By the weight in service, so that both follow when servers leave or return.
-        // What the fleet could handle, by the weight in service: the lighter the pressure, the more above
-        // what it handles now; the root is a cautious fit. Under too much pressure it is handled late.
-        let pressed = gate.pressure[0];
-        if gate.beats >= 3 && pressed < 1.0 {
-            blend(&mut gate.best, gate.handled / fleet / pressed.max(0.4).sqrt(), 0.15);
+        // What the fleet could handle, by the weight in service, so that both follow when servers leave or
+        // return: the lighter the pressure, the more above what it handles now; the root is a cautious fit.
+        // Under too much pressure it is handled late. Held back by a limit, what is handled tells nothing of
+        // what could be: the guess would sink with its own limit, so at ease it rises instead.
+        let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
+        let guess = gate.handled / fleet / pressure.max(0.4).sqrt();
+        if gate.beats >= 3 && pressure < 1.0 && (!limited || guess > gate.best) {
+            blend(&mut gate.best, guess, 0.15);
+        } else if limited && pressure < 0.8 {
+            gate.best *= 1.0 + 0.1 * (1.0 - pressure);
         }
-        if gate.beats >= 1 && pressure < 0.85 && gate.limit.is_none_or(|l| l >= came) {
+        if gate.beats >= 1 && pressure < 0.85 && !limited {
             // What has come for some seconds without pressing it, it can handle whatever the guess says.
             blend(&mut gate.usual, came / fleet, 0.2);
         }
-        let limited = gate.limit.is_some_and(|l| l < came) || gate.apart != 0;
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = now >= gate.changed + secs(if limited { 2 } else { 1 });
         if pressure > 1.0 && rested {
@@ -511,7 +516,10 @@
                 } else {
                     gate.knee
                 };
-                gate.limit = Some(gate.handled.max(gate.knee * fleet * 0.6) * part);
+                // Where failures alone press, servers may be sick and not full: a step down, no more.
+                let now_in = gate.limit.unwrap_or(came).min(came) * 0.9;
+                let base = gate.handled.max(gate.knee * fleet * 0.6);
+                gate.limit = Some(if late > 1.0 { base * part } else { now_in.max(base * part) });
             } else if gate.tries_cut && (pressure > 1.5 || came > gate.best * fleet * 1.15) {
                 // No levels here: the least class moves to a part of the fleet, less with each step.
                 gate.part = if gate.apart == 0 { 0.15 } else { (gate.part * 0.8).max(0.06) };
