--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod interface;
 pub mod logic;
 mod state;
+mod sums;
 
 pub use logic::Planner;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,9 @@
 //! What a planner keeps in mind. No decision is made here: `logic.rs` makes them all.
 
 use crate::interface::{FurtherTries, Proxy, Table, Zone};
+use crate::sums::Histogram;
 use std::collections::{BTreeSet, VecDeque};
+use std::fmt;
 use std::time::Duration;
 
 /// The place `index` of a list that grows as indices come.
@@ -30,38 +32,8 @@
     Draining,
 }
 
-/// Takes in a new pace: the first as it is, later ones in part.
-pub fn blend(pace: &mut f64, new: f64, part: f64) {
-    *pace += (new - *pace) * if *pace > 0.0 { part } else { 1.0 };
-}
-
-/// A small histogram of times on doubling bins from 20 ms, which spans any query that has a limit of
-/// seconds. What falls between two bins is split between them, so that the mean stays true.
-#[derive(Debug, Clone, Default)]
-pub struct Histogram([f32; 10]);
-
-impl Histogram {
-    pub fn add(&mut self, seconds: f64, weight: f32) {
-        let place = (seconds / 0.02).max(1.0).log2().min(8.999);
-        let part = place.fract() as f32;
-        self.0[place as usize] += weight * (1.0 - part);
-        self.0[place as usize + 1] += weight * part;
-    }
-
-    pub fn halve(&mut self) {
-        self.0.iter_mut().for_each(|bin| *bin *= 0.5);
-    }
-
-    pub fn count(&self) -> f32 {
-        self.0.iter().sum()
-    }
-
-    /// The time at the mean place, seconds.
-    pub fn mean(&self) -> f64 {
-        let places: f32 = self.0.iter().enumerate().map(|(k, bin)| k as f32 * bin).sum();
-        0.02 * f64::from(places / self.count().max(f32::MIN_POSITIVE)).exp2()
-    }
-}
+/// A line of a table, without its server.
+pub type Line = (Table, f64);
 
 #[derive(Debug, Default)]
 pub struct Node {
@@ -87,9 +59,7 @@
     /// What its queries took, waiting included; what it says that they take; how busy it says it is.
     pub times: Histogram,
     pub work: Histogram,
-    pub busy: f32,
-    /// Reports until then may still speak of the process before.
-    pub deaf_until: Duration,
+    pub busy: f64,
     pub refused: bool,
     pub unanswered: u32,
     /// When it was last probed, and whether that probe is out.
@@ -104,9 +74,16 @@
     /// For the classes set apart.
     pub apart: bool,
     pub group: Option<usize>,
-    /// The table that it is in and its weight there, and whether it is shut out of all, as sent.
-    pub sent: Option<(Table, f64)>,
-    pub out: bool,
+    /// The table that it is in and its weight there, as sent.
+    pub sent: Option<Line>,
+}
+
+impl fmt::Display for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (failed, tries, run) = (self.failed, self.tries, self.run);
+        write!(f, "{:?}: {failed:.0} of {tries:.0} failed, {run} in a row; ", self.standing)?;
+        write!(f, "probes: refused {}, unanswered {}", self.refused, self.unanswered)
+    }
 }
 
 /// Servers and proxies that share a table.
@@ -122,20 +99,24 @@
     pub bound: f64,
 }
 
+impl Group {
+    /// It is another zone's.
+    pub fn away(&self, zone: Zone) -> bool {
+        self.zone.is_some_and(|own| own != zone)
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct Joined {
     pub here: bool,
     pub zone: Zone,
     pub group: Option<usize>,
-    /// It came with tables of before, and when.
-    pub old: bool,
-    pub at: Duration,
     /// The classes set apart there, a bit each, once it is bound.
     pub bound: Option<u64>,
     /// Queries a second that came, by class.
     pub came: Vec<f64>,
     /// When it was sent messages of late.
-    pub messages: VecDeque<Duration>,
+    pub messages: Vec<Duration>,
 }
 
 /// One reply's messages on their way.
@@ -152,11 +133,28 @@
 pub struct Channel {
     pub flying: VecDeque<Flying>,
     pub mark: u16,
-    /// When all joined proxies were sent one.
+    /// When one with all that was due went out.
     pub last: Duration,
+    /// While a reply is made: the lines that there is room for yet, and the proxies that get a message.
+    pub room: f64,
+    pub reached: BTreeSet<Proxy>,
+}
+
+impl Joined {
+    /// How many messages it was sent since then.
+    pub fn sent_since(&self, then: Duration) -> usize {
+        self.messages.iter().rev().take_while(|at| **at > then).count()
+    }
 }
 
 impl Channel {
+    /// Notes messages that go out under the next mark, and gives the mark.
+    pub fn launch(&mut self, at: Duration, lines: f64, awaited: BTreeSet<Proxy>) -> u16 {
+        self.mark = self.mark.wrapping_add(1);
+        self.flying.push_back(Flying { mark: self.mark, lines, at, awaited });
+        self.mark
+    }
+
     pub fn lines(&self) -> f64 {
         self.flying.iter().map(|f| f.lines).sum()
     }
@@ -181,6 +179,8 @@
 pub struct Gate {
     /// How hard pressed the fleet is, and the part of it for classes set apart: above 1 is too hard.
     pub pressure: [f64; 2],
+    /// The part of that that is slowness.
+    pub late: [f64; 2],
     pub times: [Histogram; 2],
     /// Tries and failed tries of late in both.
     pub met: [(f64, f64); 2],
@@ -191,8 +191,6 @@
     pub best: f64,
     /// What came for some seconds without pressing the fleet, by its weight.
     pub usual: f64,
-    /// The pressure fell since the last cut.
-    pub eased: bool,
     /// What the fleet could handle when a cut was needed; 0 when none was.
     pub knee: f64,
     pub tries_cut: bool,
@@ -202,5 +200,6 @@
     /// Classes set apart, a bit each, and the part of the fleet that they have.
     pub apart: u64,
     pub part: f64,
-    pub sent: Vec<(Option<f64>, FurtherTries)>,
+    /// Level and further tries of each class, as sent.
+    pub sent: Vec<Option<(Option<f64>, FurtherTries)>>,
 }
