Probes two seconds apart, two unanswered ones; each group parted by itself

A group too small to part no longer stops the others, nor leaves servers on a side that no proxy uses.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -48,7 +48,6 @@
     }
 
     fn probed(&mut self, found: Found, now: Duration) {
-        self.asked = false;
         match found {
             Found::Handled => (self.unanswered, self.refused) = (0, false),
             Found::NoConnection => self.refused = true,
@@ -248,9 +247,8 @@
             // Nothing but failures, so many in a row that chance gives them once in ten thousand times. A full
             // server times out in a row too, but something good still comes; those set apart are to be full.
             let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && mute && !node.apart;
-            // Silence alone is no failure; two unanswered probes, or one on top of failures, are.
-            let doubts = if node.unanswered > 0 { node.unanswered as f32 + node.run } else { 0.0 };
-            let dead = dead || node.refused || (doubts >= 2.0 && quiet >= 1.5);
+            // Silence alone is no failure; two unanswered probes on top of it are.
+            let dead = dead || node.refused || (node.unanswered >= 2 && quiet >= 1.5);
             // Dropped from the list and nothing good any more, or never anything good: it is not there. A
             // list that calls running servers gone, or adds some, costs nothing else.
             let absent = node.run >= 1.0 && (node.stranger || (node.dropped && mute));
@@ -544,11 +542,9 @@
     fn probe(&mut self, orders: &mut Vec<Order>) {
         let (now, allowed) = (self.now, self.facts.flag("probes.allowed"));
         for (server, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| allowed && n.ready()) {
-            // Every two seconds, well under a hundredth of a server's work; after the first probe that stays
-            // without an answer, the next at once. One at a time: what is full has no room for them.
-            let every = secs(if node.in_service() && node.unanswered == 1 && !node.asked { 0 } else { 2 });
-            if now >= node.probed + every {
-                (node.probed, node.asked) = (now, true);
+            // Well under a hundredth of a server's work.
+            if now >= node.probed + secs(2) {
+                node.probed = now;
                 orders.push(Order::Probe { server });
             }
         }
@@ -561,7 +557,7 @@
             self.divide();
         }
         for group in &mut self.groups {
-            *group = Group { zone: group.zone, load: 0.1, ..Group::default() };
+            *group = Group { zone: group.zone, apart: group.apart, load: 0.1, ..Group::default() };
         }
         // One that came goes to the group of its zone that has least to do, or fewest servers, and stays.
         for proxy in self.proxies.iter_mut().filter(|p| p.here) {
@@ -569,7 +565,7 @@
             proxy.group = proxy.group.or_else(|| (0..self.groups.len()).min_by_key(key));
             if let Some(group) = proxy.group.map(|g| &mut self.groups[g]) {
                 group.load += proxy.came.iter().sum::<f64>();
-                group.bound += f64::from(u8::from(proxy.bound.is_some()));
+                group.proxies += 1.0;
             }
         }
         for s in 0..self.nodes.len() {
@@ -634,13 +630,10 @@
             let of = |s: &Server| self.nodes[*s].group == Some(g) && self.nodes[*s].in_service();
             let warm = (0..self.nodes.len()).filter(of).filter(|s| self.ramp(*s) >= 1.0);
             let open: Vec<(Server, f64)> = warm.map(|s| (s, self.weight(s))).collect();
-            if open.len() < 4 {
-                self.gate.apart = 0;
-            }
-            let all: f64 = open.iter().map(|(_, weight)| weight).sum();
-            let mut left = if self.gate.apart == 0 { 0.0 } else { all * self.gate.part };
+            let mut left = open.iter().map(|(_, weight)| weight).sum::<f64>() * self.gate.part;
+            self.groups[g].apart = if open.len() < 4 { 0 } else { self.gate.apart };
             self.nodes.iter_mut().filter(|n| n.group == Some(g)).for_each(|n| n.apart = false);
-            for (s, weight) in open.into_iter().skip(1) {
+            for (s, weight) in open.into_iter().skip(1).filter(|_| self.groups[g].apart != 0) {
                 self.nodes[s].apart = left > 0.0;
                 left -= weight;
             }
@@ -721,7 +714,7 @@
         for (_, server, line) in wanted {
             let gone = self.nodes[server].sent.filter(|old| line.is_none_or(|new| new.0 != old.0));
             let lines = gone.map(|old| (old.0, 0.0)).into_iter().chain(line);
-            let cost: f64 = lines.clone().map(|(table, _)| self.groups[group(table)].bound).sum();
+            let cost: f64 = lines.clone().map(|(table, _)| self.groups[group(table)].proxies).sum();
             if cost > self.channel.room {
                 break;
             }
@@ -753,16 +746,16 @@
 
     /// Binds those that are on no table yet, or whose classes changed sides.
     fn bind(&mut self, orders: &mut Vec<Order>) {
-        let (apart, levels) = (self.gate.apart, self.gate.sent.len() as f64);
         for (proxy, joined) in self.proxies.iter_mut().enumerate().filter(|(_, p)| p.here) {
-            let Some(group) = joined.group.filter(|g| self.groups[*g].weight > 0.0) else { continue };
-            let cost = 2.0 + 2.0 * self.groups[group].servers as f64 + 2.0 * levels;
+            let Some(g) = joined.group.filter(|g| self.groups[*g].weight > 0.0) else { continue };
+            let Group { servers, apart, .. } = self.groups[g];
+            let cost = 2.0 * (1 + servers + self.gate.sent.len()) as f64;
             if joined.bound == Some(apart) || cost > self.channel.room {
                 continue;
             }
-            orders.push(Order::Bind { proxy, table: table(group, false), classes: 0 });
+            orders.push(Order::Bind { proxy, table: table(g, false), classes: 0 });
             if apart != 0 {
-                orders.push(Order::Bind { proxy, table: table(group, true), classes: apart });
+                orders.push(Order::Bind { proxy, table: table(g, true), classes: apart });
             }
             joined.bound = Some(apart);
             self.channel.reached.insert(proxy);
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,9 +62,7 @@
     pub busy: f64,
     pub refused: bool,
     pub unanswered: u32,
-    /// When it was last probed, and whether that probe is out.
     pub probed: Duration,
-    pub asked: bool,
     /// What withdrew it was hard evidence: nothing good came from it at all.
     pub hard: bool,
     pub halved: bool,
@@ -95,8 +93,9 @@
     pub load: f64,
     pub weight: f64,
     pub servers: usize,
-    /// Proxies that are on its table.
-    pub bound: f64,
+    pub proxies: f64,
+    /// The classes set apart in it, a bit each.
+    pub apart: u64,
 }
 
 impl Group {
