--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,13 +1,11 @@
-//! Every decision of a planner. Its words, events and orders stand in `interface.rs`.
-//!
-//! It is called through [`Planner::decide`] alone: with the clock and what happened, start included; it
-//! returns what is to be done. Within: note what happened, judge each server's standing, keep a floor per
-//! zone, weigh the servers in service, set levels, deal into groups, send. See `docs/design.md`.
+//! Every decision of a planner, through [`Planner::decide`] alone: note what happened, judge each server's
+//! standing, keep a floor per zone, weigh the servers in service, set levels, deal into groups, send. Words,
+//! events and orders stand in `interface.rs`; `docs/design.md` says what follows the source.
 
 use crate::interface::{Class, Server, Table};
 use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
 use crate::state::{at, Channel, Gate, Group, Joined, Line, Node, Standing, Standing::*};
-use crate::sums::{blend, even_level, middle};
+use crate::sums::{blend, even_level, middle, near};
 use nanorand::{Rng, WyRand};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -78,14 +76,9 @@
     groups: Vec<Group>,
     next_beat: Duration,
     halved_at: Duration,
-    listed_once: bool,
     token: u64,
-    /// A beat's deltas wait to be sent.
-    due: bool,
     /// Something came that can't wait for the next look.
     pressing: bool,
-    /// Lines for the operators' log.
-    told: Vec<String>,
 }
 
 impl Planner {
@@ -98,7 +91,7 @@
         if self.chance.is_some() && std::mem::take(&mut self.pressing) {
             // Once a second, as the design has it.
             let beat = now >= self.next_beat;
-            self.judge();
+            self.judge(&mut orders);
             self.floor();
             if beat {
                 self.next_beat = now + secs(1);
@@ -106,11 +99,9 @@
                 self.forget();
                 self.gauge();
             }
-            self.probe(&mut orders);
             self.deal(beat);
             self.send(beat, &mut orders);
         }
-        orders.extend(self.told.drain(..).map(|text| Order::Log { text }));
         orders
     }
 
@@ -192,8 +183,8 @@
     }
 
     fn list(&mut self, how: Listing, entries: &[Entry]) {
-        let (now, first, stays) = (self.now, !self.listed_once, self.facts.flag("drain.marked_only"));
-        (self.listed_once, self.pressing) = (true, true);
+        let (now, first, stays) = (self.now, self.nodes.is_empty(), self.facts.flag("drain.marked_only"));
+        self.pressing = true;
         for e in entries {
             let node = at(&mut self.nodes, e.server);
             let known = node.listed > 0.0 && e.started <= node.started;
@@ -206,15 +197,13 @@
                 // The list was wrong, or has only now become right: the same process, warm by its age.
                 Mode::Ready if known && stays => node.enter(Ramping, now),
                 Mode::Ready => {
-                    // On the first list an old server is in full service: all would ramp alike. Later, one
-                    // that started long ago has yet to show that it is there.
+                    // On the first list an old server is in full service; later it has to show that it is there.
                     let old = first && e.started.is_none();
                     node.stranger = !first && stays && e.started.is_none();
                     node.enter(if old { Eligible } else { Ramping }, now);
                     (node.swift, node.heard, node.good_at, node.dropped) = (1.0, now, now, false);
                     (node.times, node.work, node.busy) = Default::default();
                     node.started = if old { None } else { e.started.or(Some(now)) };
-                    // Probes are spread over their first two seconds.
                     let spread = self.chance.as_mut().map_or(0, |c| c.generate_range(0..2000));
                     node.probed = now.saturating_sub(Duration::from_millis(spread));
                 }
@@ -228,35 +217,38 @@
     }
 
     /// Settles where each server stands, by what was met there and what its probes found.
-    fn judge(&mut self) {
-        let (now, slow) = (self.now, self.slow());
+    fn judge(&mut self, orders: &mut Vec<Order>) {
+        let (now, slow, probes) = (self.now, self.slow(), self.facts.flag("probes.allowed"));
         // What is usual, in failed tries and in quiet: that of the middle one of the servers in service.
         let heard = self.nodes.iter().filter(|n| n.in_service() && !n.apart && n.tries >= 2.0);
         let usual = middle(heard.clone().map(|n| n.failed / n.tries).collect());
         let hush = middle(heard.map(|n| now.saturating_sub(n.good_at).as_secs_f32()).collect());
-        // The design's half of the tries is a burst of time-outs at a full server too; two thirds of
-        // fourteen is not by chance. What all suffer is no server's fault: it must stand out as well.
+        // Half of the tries is a burst of time-outs at a full server too; and it must stand out from the rest.
         let mark = (2.0 * usual + 0.2).max(0.65);
         let mut failing = Vec::new();
         for s in 0..self.nodes.len() {
             let full = self.ramp(s) >= 1.0;
             let node = &mut self.nodes[s];
             node.halved = false;
+            // A probe every two seconds is well under a hundredth of a server's work.
+            if probes && node.ready() && now >= node.probed + secs(2) {
+                node.probed = now;
+                orders.push(Order::Probe { server: s });
+            }
             let quiet = now.saturating_sub(node.good_at).as_secs_f32();
             let mute = quiet >= (6.0 * hush).max(2.5);
-            // Nothing but failures, so many in a row that chance gives them once in ten thousand times. A full
-            // server times out in a row too, but something good still comes; those set apart are to be full.
+            // Nothing but failures, as chance gives them once in ten thousand times, and nothing good between
+            // them, as still comes from a full server. Those set apart are meant to be full.
             let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && mute && !node.apart;
             // Silence alone is no failure; two unanswered probes on top of it are.
             let dead = dead || node.refused || (node.unanswered >= 2 && quiet >= 1.5);
-            // Dropped from the list and nothing good any more, or never anything good: it is not there. A
-            // list that calls running servers gone, or adds some, costs nothing else.
+            // Dropped from the list and nothing good any more, or never anything good: it is not there.
             let absent = node.run >= 1.0 && (node.stranger || (node.dropped && mute));
             let heard = now < node.heard + secs(3);
             let waited = now.saturating_sub(node.since);
             match node.standing {
                 _ if node.in_service() && absent => node.drop_out(false, now),
-                _ if node.in_service() && dead => self.withdraw(s, true),
+                _ if node.in_service() && dead => self.withdraw(s, true, orders),
                 _ if node.in_service() && node.tries >= 14.0 && node.failed / node.tries > mark => {
                     failing.push(s);
                     // Failing, and slow in what it answers, is too much load and no fault: less weight.
@@ -264,7 +256,7 @@
                 }
                 Held if waited >= secs(60) => node.enter(Withdrawn, now),
                 // With probes, one that was handled opens the probation.
-                Withdrawn if !self.facts.flag("probes.allowed") => node.enter(Probation, now),
+                Withdrawn if !probes => node.enter(Probation, now),
                 // The design's ten seconds.
                 Probation if waited >= secs(10) => node.enter(Ramping, now),
                 Ramping if full => node.standing = Eligible,
@@ -273,27 +265,26 @@
                 _ => {}
             }
         }
-        // Ready servers less two for each that fails, by zone: most of a zone failing together points at what
-        // they share. Less weight, no withdrawal.
+        // Most of a zone failing together points at what they share: less weight, no withdrawal.
         let mut rest: Vec<i64> = Vec::new();
         self.nodes.iter().filter(|n| n.ready()).for_each(|n| *at(&mut rest, n.zone) += 1);
         failing.iter().for_each(|s| *at(&mut rest, self.nodes[*s].zone) -= 2);
         for s in failing {
             self.nodes[s].halved |= rest[self.nodes[s].zone] < 0;
             if !self.nodes[s].halved {
-                self.withdraw(s, false);
+                self.withdraw(s, false, orders);
             }
         }
     }
 
-    fn withdraw(&mut self, s: Server, hard: bool) {
+    fn withdraw(&mut self, s: Server, hard: bool, orders: &mut Vec<Order>) {
         let (now, node) = (self.now, &mut self.nodes[s]);
         node.hard = hard;
         node.withdrawals.push_back(now);
         // Three in sixty seconds, as the design has it.
         node.withdrawals.retain(|at| now < *at + secs(60));
         node.enter(if node.withdrawals.len() >= 3 { Held } else { Withdrawn }, now);
-        self.told.push(format!("server {s} {node}"));
+        orders.push(Order::Log { text: format!("server {s} {node}") });
     }
 
     /// Under half of a zone in service: what was withdrawn there returns, ramping. Servers that gave nothing
@@ -306,7 +297,7 @@
             let one = if node.in_service() { -1 } else { 1 };
             (out[node.zone], out[fleet]) = (out[node.zone] + one, out[fleet] + one);
         }
-        let none = !(0..self.nodes.len()).any(|s| self.nodes[s].in_service() && self.ramp(s) > 0.0);
+        let none = !(0..self.nodes.len()).any(|s| self.weight(s) > 0.0);
         for node in self.nodes.iter_mut().filter(|n| n.ready() && !n.in_service()) {
             // Five seconds out, so that a dead server is not let in again at every look.
             let rested = self.now >= node.since + secs(5);
@@ -326,8 +317,7 @@
         // A cold server is smaller, and slower too: a little less than its least capacity.
         let (from, warm) = (self.fact("cold.from", 0.1), self.fact("cold.warm_after", 20.0).max(0.1));
         let least = (from + (1.0 - from) * self.now.saturating_sub(started).as_secs_f64() / warm).min(1.0);
-        // Where the others are full, proxies shun them and heap what they have on the fresh one. So the harder
-        // pressed the fleet, the warmer it must be to be let in, and to stay. Its first seconds never pay.
+        // The harder pressed the fleet, the warmer it must be: what full ones shun is heaped on a fresh one.
         let entry = if node.sent.is_none() { 0.4 } else { 0.0 };
         if least < (0.2 * self.gate.pressure[0]).clamp(entry, 1.0) {
             return 0.0;
@@ -337,33 +327,34 @@
 
     fn weight(&self, s: Server) -> f64 {
         let node = &self.nodes[s];
-        node.listed * node.swift * self.ramp(s) * if node.halved { 0.5 } else { 1.0 }
+        let part = if node.in_service() { self.ramp(s) } else { 0.0 };
+        node.listed * node.swift * part * if node.halved { 0.5 } else { 1.0 }
     }
 
-    /// Once a beat: how swift each server is against what the list says of it. The best evidence is how
-    /// busy its tries keep it, which the weight given stands for where other planners send too; then its own
-    /// time for a query; else, against its kind, what its queries took, waiting included.
+    /// Once a beat: how swift each server is against what the list says: by how busy its tries (with other
+    /// planners about, its weight) keep it; else its own time for a query; else what its queries took.
     fn weigh(&mut self) {
         let alone = self.fact("planners", 1.0) <= 1.0;
+        let evidence = |n: &Node| {
+            let tries = if alone { f64::from(n.tries) / n.listed } else { n.swift };
+            match n {
+                n if n.busy > 0.05 && (n.tries < 8.0 || n.standing == Ramping) => None,
+                n if n.busy > 0.05 => Some((0, n.busy / tries, true)),
+                n if n.work.count() >= 4.0 => Some((n.kind + 1, n.listed * n.work.mean(), true)),
+                n => Some((n.kind + 1, n.times.mean(), false)).filter(|_| n.times.count() >= 8.0),
+            }
+        };
         let mut seen: Vec<Vec<(Server, f64, bool)>> = Vec::new();
-        for (s, n) in self.nodes.iter().enumerate().filter(|(_, n)| n.in_service()) {
-            if n.busy > 0.05 {
-                let tries = if alone { f64::from(n.tries) / n.listed } else { n.swift };
-                if n.tries >= 8.0 && n.standing != Ramping {
-                    at(&mut seen, 0).push((s, n.busy / tries, true));
-                }
-            } else if n.work.count() >= 4.0 {
-                at(&mut seen, n.kind + 1).push((s, n.listed * n.work.mean(), true));
-            } else if n.times.count() >= 8.0 {
-                at(&mut seen, n.kind + 1).push((s, n.times.mean(), false));
+        for (s, node) in self.nodes.iter().enumerate().filter(|(_, n)| n.in_service()) {
+            if let Some((peers, time, direct)) = evidence(node) {
+                at(&mut seen, peers).push((s, time, direct));
             }
         }
         for peers in seen {
             let mean = peers.iter().map(|(_, t, _)| t.ln()).sum::<f64>() / peers.len().max(1) as f64;
             for (s, time, direct) in peers {
                 let (lag, swift) = ((mean - time.ln()).clamp(-1.0, 1.0), &mut self.nodes[s].swift);
-                // What answers to the weight itself, seconds late, is taken up slowly, and times with the
-                // waiting in them by half: more would swing.
+                // What answers to the weight itself, seconds late, is taken up slowly, or by half: no swing.
                 let goal = if direct { lag } else { lag * 0.5 };
                 let pace = if direct && alone { 0.2 } else { 0.1 };
                 *swift = (*swift * ((goal - swift.ln()) * pace).exp()).clamp(0.4, 2.0);
@@ -371,29 +362,17 @@
         }
     }
 
-    /// Halves what was counted. Three seconds hold some tens of tries at a server that gets a few a second;
-    /// where they are fewer, as long as sixteen take, so that there is something to go by.
+    /// Halves what was counted: every three seconds, or as long as sixteen tries a server take.
     fn forget(&mut self) {
         let serving: Vec<f32> = self.nodes.iter().filter(|n| n.in_service()).map(|n| n.tries).collect();
         let rich = serving.iter().sum::<f32>() >= 16.0 * serving.len() as f32;
         let halve = self.now >= self.halved_at + secs(if rich { 3 } else { 12 });
-        self.halved_at = if halve { self.now } else { self.halved_at };
-        for node in &mut self.nodes {
-            if halve {
-                (node.tries, node.failed) = (node.tries * 0.5, node.failed * 0.5);
-                node.times.halve();
-                node.work.cap(20.0);
-            }
-            if self.now >= node.heard + secs(3) {
-                node.flow.clear();
-            }
+        if halve {
+            self.halved_at = self.now;
+            self.nodes.iter_mut().for_each(|n| n.halve(20.0));
         }
     }
 
-    fn leveled(&self) -> bool {
-        matches!(self.facts.text("levels.kind"), "pace" | "share")
-    }
-
     /// The classes by payoff, and among equals the one that can wait least first.
     fn classes(&self) -> Vec<Class> {
         let key = |c: &Class, name: &str| self.fact(&format!("class.{c}.{name}"), 1.0);
@@ -403,8 +382,7 @@
         classes
     }
 
-    /// The mean time, seconds, past which the slow tail begins to miss the soft limit: near half of it,
-    /// over the classes as they come.
+    /// The mean time, seconds, past which the slow tail begins to miss the soft limit: near half of it.
     fn slow(&self) -> f64 {
         let (mut sum, mut all) = (0.0, 0.0);
         for class in self.classes() {
@@ -419,16 +397,15 @@
     /// least class, only when that does not help.
     fn gauge(&mut self) {
         self.press();
-        let serving = (0..self.nodes.len()).filter(|s| self.nodes[*s].in_service());
-        let fleet = serving.map(|s| self.weight(s)).sum::<f64>().max(1e-3);
+        let fleet = (0..self.nodes.len()).map(|s| self.weight(s)).sum::<f64>().max(1e-3);
         let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
         let gate = &mut self.gate;
-        gate.handled = self.nodes.iter().flat_map(|n| &n.flow).sum();
+        let heard = self.nodes.iter().filter(|n| self.now < n.heard + secs(3));
+        gate.handled = heard.flat_map(|n| &n.flow).sum();
         gate.beats += u32::from(gate.handled > 0.0);
         let (limited, pressure) = (gate.limit.is_some_and(|l| l < came) || gate.apart != 0, gate.pressure[0]);
-        // What the fleet could handle, by the weight in service, as servers leave and join: the lighter the
-        // pressure, the more above what it handles now; the root is a cautious fit. Held back by a limit at
-        // ease it rises: it would sink with its own limit.
+        // What the fleet could handle by its weight: the lighter the pressure, the more above what it handles
+        // now (the root is a cautious fit). Held back by a limit at ease it rises, or it would sink with it.
         let guess = gate.handled / fleet / pressure.max(0.4).sqrt();
         if gate.beats >= 3 && pressure < 1.0 && (!limited || guess > gate.best) {
             blend(&mut gate.best, guess, 0.15);
@@ -441,10 +418,11 @@
         }
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = self.now >= gate.changed + secs(if limited { 2 } else { 1 });
+        let leveled = matches!(self.facts.text("levels.kind"), "pace" | "share");
         if pressure > 1.0 && rested {
-            self.cut(fleet, came);
+            self.cut(fleet, came, leveled);
         } else if pressure < 0.9 {
-            self.ease(fleet, came, rested);
+            self.ease(fleet, came, leveled, rested);
         }
     }
 
@@ -456,20 +434,18 @@
             let (tries, failed) = gate.met[k];
             gate.met[k] = (tries * 0.5, failed * 0.5);
             gate.late[k] = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
-            // More than one failed try in seven is more than a few servers' trouble; where the rest is as
-            // quick as ever, it is no overload either, and letting in less would not help.
+            // One failed try in seven is more than a few servers' trouble; with the rest quick, no overload.
             let failures = (failed / (tries + 1.0) / 0.15).min(gate.late[k] * 1.6);
             gate.pressure[k] = gate.late[k].max(failures);
             times.halve();
         }
     }
 
-    fn cut(&mut self, fleet: f64, came: f64) {
-        let (least, leveled) = (self.classes().into_iter().skip(1).last(), self.leveled());
+    fn cut(&mut self, fleet: f64, came: f64, leveled: bool) {
+        let least = self.classes().into_iter().skip(1).last();
         let gate = &mut self.gate;
         if gate.tries_cut && leveled {
-            // Below what is handled, the deeper the more waits, so that it is worked off in seconds. The knee
-            // is what the fleet could handle when a cut was needed.
+            // Below what is handled, or could be when a cut was needed, so that what waits is worked off.
             gate.knee = if gate.knee == 0.0 { gate.best } else { gate.knee };
             let part = (1.0 - 0.15 * gate.pressure[0]).clamp(0.5, 0.9);
             let below = gate.handled.max(gate.knee * fleet * 0.6) * part;
@@ -484,10 +460,10 @@
         (gate.tries_cut, gate.changed) = (true, self.now);
     }
 
-    fn ease(&mut self, fleet: f64, came: f64, rested: bool) {
+    fn ease(&mut self, fleet: f64, came: f64, leveled: bool, rested: bool) {
         // Picked by chance, queries queue at a lower load than in turns.
         let room = if self.facts.text("pick") == "chance" { 0.7 } else { 0.8 };
-        let (leveled, gate) = (self.leveled(), &mut self.gate);
+        let gate = &mut self.gate;
         // The more room, the longer the step: a fleet at rest is let in within a few seconds.
         let ease = 1.0 - gate.pressure[0];
         let step = 1.0 + 0.2 * ease;
@@ -499,8 +475,7 @@
                 l if gate.knee > 0.0 => l * (1.0 + 0.04 * ease),
                 l => l * step,
             };
-            // A limit a third above what comes stays on, against surges that reports tell of too late; three
-            // seconds of reports make the guess fit to bind.
+            // A limit a third above what comes stays on, against surges; the guess binds after three seconds.
             let most = (gate.best * room).max(gate.usual * 1.1) * fleet;
             gate.limit = Some(rise.min(came * 1.3).min(if gate.beats < 4 { f64::MAX } else { most }));
         }
@@ -526,8 +501,7 @@
             let came: Vec<f64> = here.filter_map(|p| p.came.get(class).copied()).collect();
             let all: f64 = came.iter().sum();
             let part = rest.max(all * 0.05);
-            // One pace for every proxy: it binds the busy ones until the sum fits. Where all fits, room for a
-            // surge of a fifth, so that clients' repeats can't undo the cut.
+            // One pace for every proxy binds the busy ones until the sum fits; else, room for a fifth more.
             levels[class].0 = if self.facts.text("levels.kind") == "share" {
                 Some(part / all).filter(|level| *level < 1.0)
             } else {
@@ -539,17 +513,6 @@
         levels
     }
 
-    fn probe(&mut self, orders: &mut Vec<Order>) {
-        let (now, allowed) = (self.now, self.facts.flag("probes.allowed"));
-        for (server, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| allowed && n.ready()) {
-            // Well under a hundredth of a server's work.
-            if now >= node.probed + secs(2) {
-                node.probed = now;
-                orders.push(Order::Probe { server });
-            }
-        }
-    }
-
     /// Deals proxies and servers into groups, each with a table of its own. A departure (docs/design.md):
     /// one table of all servers for all proxies, wherever the channel can lay that table at once.
     fn deal(&mut self, beat: bool) {
@@ -569,8 +532,7 @@
             }
         }
         for s in 0..self.nodes.len() {
-            let weight = if self.nodes[s].in_service() { self.weight(s) } else { 0.0 };
-            let node = &mut self.nodes[s];
+            let (weight, node) = (self.weight(s), &mut self.nodes[s]);
             let key = |g: &usize| (self.groups[*g].away(node.zone), self.groups[*g].servers);
             node.group = node.group.or_else(|| (0..self.groups.len()).min_by_key(key));
             if let Some(group) = node.group.map(|g| &mut self.groups[g]) {
@@ -592,6 +554,8 @@
         let zones = if self.facts.flag("home_first") { 1.0 } else { self.fact("zones", 1.0).max(1.0) };
         // Ten servers are few enough that their connections stay open, and enough to lose some.
         let count = if lay < 0.3 { ready.min(1.0) } else { (ready / 10.0 / zones).ceil() * zones };
+        // Where keys fall into slices nothing is ordered so far (docs/design.md).
+        let count = if self.fact("slices", 0.0) > 0.0 { 0.0 } else { count };
         let zone = |g| (zones > 1.0 && count > 1.0).then_some(g % zones as usize);
         self.groups = (0..count as usize).map(|g| Group { zone: zone(g), ..Group::default() }).collect();
     }
@@ -603,11 +567,11 @@
             let by_plenty = |a: &usize, b: &usize| plenty(a).total_cmp(&plenty(b));
             let Some(poor) = (0..self.groups.len()).min_by(by_plenty) else { return };
             let rich = (0..self.groups.len()).max_by(by_plenty).unwrap_or(poor);
-            // Home first, then away from where it is a guest; a warm one rather than a cold one.
+            // Home first, then away from where it is a guest.
             let (from, to) = (self.groups[rich].zone, self.groups[poor].zone);
             let key = |s: &Server| {
-                let (zone, cold) = (Some(self.nodes[*s].zone), self.nodes[*s].started.is_some());
-                (zone != to, zone == from, cold)
+                let zone = Some(self.nodes[*s].zone);
+                (zone != to, zone == from)
             };
             let movable = |s: &Server| self.nodes[*s].group == Some(rich) && self.nodes[*s].in_service();
             let Some(s) = (0..self.nodes.len()).filter(movable).min_by_key(key) else { return };
@@ -623,8 +587,7 @@
         }
     }
 
-    /// Chooses the servers for the classes set apart: a group's first in service, up to their part. Never a
-    /// cold one, which the crowd would push over, and never the last: too small a group is not parted.
+    /// Sets servers apart: a group's first warm ones, up to their part; too small a group is not parted.
     fn part(&mut self) {
         for g in 0..self.groups.len() {
             let of = |s: &Server| self.nodes[*s].group == Some(g) && self.nodes[*s].in_service();
@@ -640,30 +603,22 @@
         }
     }
 
-    /// Owns all orders to proxies: what is out first, then lines, levels and binds, as far as the channel
-    /// and each proxy's count of messages allow.
+    /// Owns all orders to proxies: what is out first, then lines, levels and binds, as the channel allows.
     fn send(&mut self, beat: bool, orders: &mut Vec<Order>) {
         let now = self.now;
-        // What no mark came back for in twenty seconds was lost with its stream.
-        self.channel.flying.retain(|f| now < f.at + secs(20));
-        let most = Some(self.fact("channel.messages", 0.0)).filter(|m| *m > 0.0).unwrap_or(f64::INFINITY);
-        let over = self.facts.span("channel.messages_over").unwrap_or(secs(10)) + Duration::from_millis(100);
-        let joined = self.proxies.iter().filter(|p| p.here);
-        let sent = joined.clone().map(|p| p.sent_since(now.saturating_sub(over))).max();
-        let (count, head) = (joined.count() as f64, self.fact("channel.overhead", 10.0) + 1.0);
+        let (most, over) = (self.fact("channel.messages", 0.0), self.facts.span("channel.messages_over"));
+        let over = over.unwrap_or(secs(10)) + Duration::from_millis(100);
+        let count = self.proxies.iter().filter(|p| p.here).count() as f64;
+        let head = self.fact("channel.overhead", 10.0) + 1.0;
         // Half the backlog stays free: marks come late, and a slow channel is seen late.
         let free = self.fact("channel.backlog", 500.0) / 2.0 - self.channel.lines() - head * count;
-        // Where keys fall into slices nothing is ordered so far (docs/design.md).
-        let sliced = self.fact("slices", 0.0) > 0.0;
-        if sliced || free < 0.0 || sent.is_none_or(|sent| sent as f64 > most - 1.0) {
+        if count < 1.0 || free < 0.0 {
             return;
         }
-        // Where messages are counted, one to all goes out every so often with all that is due, so that two
-        // are always left: a drain waits a second at most, and never for its turn in the count.
-        let wait = most.is_finite() && now < self.channel.last + over.div_f64((most - 2.0).max(1.0));
-        self.due |= beat;
-        let ordinary = self.due && !wait;
-        self.due &= wait;
+        // Where messages are counted, one to all goes out every so often with all that is due, so that two are
+        // always left, a bind's among them: a drain waits a second at most, and never for its turn.
+        let wait = most > 0.0 && now < self.channel.last + over.div_f64((most - 2.0).max(1.0));
+        let ordinary = if most > 0.0 { !wait } else { beat };
         if ordinary || self.gate.apart != 0 {
             self.part();
         }
@@ -678,13 +633,11 @@
         self.bind(orders);
         let reached = std::mem::take(&mut self.channel.reached);
         if !reached.is_empty() {
-            reached.iter().for_each(|p| self.proxies[*p].messages.push(now));
             let lines = free - self.channel.room + head * reached.len() as f64;
-            orders.push(Order::Mark { mark: self.channel.launch(now, lines, reached), everyone: false });
+            orders.push(Order::Mark { mark: self.channel.launch(lines, reached), everyone: false });
         }
     }
 
-    /// Notes that those on the tables of some groups get a message.
     fn reach(&mut self, groups: &BTreeSet<Option<usize>>) {
         let on = |p: &Joined| p.here && p.bound.is_some() && groups.contains(&p.group);
         let reached = self.proxies.iter().enumerate().filter(|(_, p)| on(p)).map(|(p, _)| p);
@@ -695,7 +648,7 @@
     fn lines(&mut self, ordinary: bool, orders: &mut Vec<Order>) {
         let mut wanted: Vec<(f64, Server, Option<Line>)> = Vec::new();
         for (s, node) in self.nodes.iter().enumerate() {
-            let weight = if node.in_service() { self.weight(s) } else { 0.0 };
+            let weight = self.weight(s);
             let line = node.group.filter(|_| weight > 0.0).map(|g| (table(g, node.apart), weight));
             let off = match (node.sent, line) {
                 (None, None) => 0.0,
@@ -710,17 +663,17 @@
         }
         wanted.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         let mut concerned = BTreeSet::new();
-        let group = |table: Table| (usize::from(table) - 1) / 2;
         for (_, server, line) in wanted {
             let gone = self.nodes[server].sent.filter(|old| line.is_none_or(|new| new.0 != old.0));
             let lines = gone.map(|old| (old.0, 0.0)).into_iter().chain(line);
-            let cost: f64 = lines.clone().map(|(table, _)| self.groups[group(table)].proxies).sum();
+            let groups = lines.clone().map(|(table, _)| (usize::from(table) - 1) / 2);
+            let cost: f64 = groups.clone().map(|g| self.groups[g].proxies).sum();
             if cost > self.channel.room {
                 break;
             }
             self.channel.room -= cost;
             self.nodes[server].sent = line;
-            concerned.extend(lines.clone().map(|(table, _)| Some(group(table))));
+            concerned.extend(groups.map(Some));
             orders.extend(lines.map(|(table, weight)| Order::Line { table, server, weight }));
         }
         self.reach(&concerned);
@@ -729,12 +682,9 @@
     /// Sets the levels that changed, in every table.
     fn set_levels(&mut self, cost: f64, orders: &mut Vec<Order>) {
         for (class, (level, tries)) in self.levels().into_iter().enumerate() {
-            let near = |a: Option<f64>| match (a, level) {
-                (Some(a), Some(b)) => (0.93..1.07).contains(&(b / a)),
-                (a, b) => a == b,
-            };
             let old = at(&mut self.gate.sent, class);
-            if !old.is_some_and(|o| near(o.0) && o.1 == tries) && self.channel.room >= cost {
+            let same = old.is_some_and(|o| near(o.0, level, 0.07) && o.1 == tries);
+            if !same && self.channel.room >= cost {
                 *old = Some((level, tries));
                 let tables = (0..self.groups.len()).flat_map(|g| [table(g, false), table(g, true)]);
                 orders.extend(tables.map(|table| Order::Level { table, class, level, tries }));
--- a/src/state.rs
+++ b/src/state.rs
@@ -76,6 +76,15 @@
     pub sent: Option<Line>,
 }
 
+impl Node {
+    /// Halves what was counted; of its own word on its work, once it is more than so much.
+    pub fn halve(&mut self, most: f32) {
+        (self.tries, self.failed) = (self.tries * 0.5, self.failed * 0.5);
+        self.times.halve();
+        self.work.cap(most);
+    }
+}
+
 impl fmt::Display for Node {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (failed, tries, run) = (self.failed, self.tries, self.run);
@@ -114,8 +123,6 @@
     pub bound: Option<u64>,
     /// Queries a second that came, by class.
     pub came: Vec<f64>,
-    /// When it was sent messages of late.
-    pub messages: Vec<Duration>,
 }
 
 /// One reply's messages on their way.
@@ -123,7 +130,6 @@
 pub struct Flying {
     pub mark: u16,
     pub lines: f64,
-    pub at: Duration,
     pub awaited: BTreeSet<Proxy>,
 }
 
@@ -139,18 +145,11 @@
     pub reached: BTreeSet<Proxy>,
 }
 
-impl Joined {
-    /// How many messages it was sent since then.
-    pub fn sent_since(&self, then: Duration) -> usize {
-        self.messages.iter().rev().take_while(|at| **at > then).count()
-    }
-}
-
 impl Channel {
     /// Notes messages that go out under the next mark, and gives the mark.
-    pub fn launch(&mut self, at: Duration, lines: f64, awaited: BTreeSet<Proxy>) -> u16 {
+    pub fn launch(&mut self, lines: f64, awaited: BTreeSet<Proxy>) -> u16 {
         self.mark = self.mark.wrapping_add(1);
-        self.flying.push_back(Flying { mark: self.mark, lines, at, awaited });
+        self.flying.push_back(Flying { mark: self.mark, lines, awaited });
         self.mark
     }
 
--- a/src/sums.rs
+++ b/src/sums.rs
@@ -5,6 +5,14 @@
     *pace += (new - *pace) * if *pace > 0.0 { part } else { 1.0 };
 }
 
+/// They are the same, or no more than a part of the first apart.
+pub fn near(a: Option<f64>, b: Option<f64>, part: f64) -> bool {
+    match (a, b) {
+        (Some(a), Some(b)) => (b - a).abs() < a * part,
+        (a, b) => a == b,
+    }
+}
+
 /// The middle one.
 pub fn middle(mut seen: Vec<f32>) -> f32 {
     seen.sort_by(f32::total_cmp);
