--- a/src/logic.rs
+++ b/src/logic.rs
@@ -520,7 +520,7 @@
             self.divide();
         }
         for group in &mut self.groups {
-            *group = Group { zone: group.zone, apart: group.apart, load: 0.1, ..Group::default() };
+            *group = Group { zone: group.zone, apart: group.apart, ..Group::default() };
         }
         // One that came goes to the group of its zone that has least to do, or fewest servers, and stays.
         for proxy in self.proxies.iter_mut().filter(|p| p.here) {
@@ -540,7 +540,7 @@
                 group.weight += weight;
             }
         }
-        if beat || self.groups.iter().any(|g| g.weight <= 0.0) {
+        if beat || self.groups.iter().any(|g| g.load > 0.0 && g.weight <= 0.0) {
             self.balance();
         }
     }
@@ -560,20 +560,21 @@
         self.groups = (0..count as usize).map(|g| Group { zone: zone(g), ..Group::default() }).collect();
     }
 
-    /// Servers go where there is most to do for the weight, one by one, while that evens things out.
+    /// Servers go where there is most to do for the weight, one by one; a group without proxies gives all.
     fn balance(&mut self) {
         for _ in 0..self.nodes.len() {
             let plenty = |g: &usize| self.groups[*g].weight / self.groups[*g].load;
             let by_plenty = |a: &usize, b: &usize| plenty(a).total_cmp(&plenty(b));
-            let Some(poor) = (0..self.groups.len()).min_by(by_plenty) else { return };
-            let rich = (0..self.groups.len()).max_by(by_plenty).unwrap_or(poor);
+            let (fed, full) =
+                (|g: &usize| self.groups[*g].load > 0.0, |g: &usize| self.groups[*g].weight > 0.0);
+            let Some(poor) = (0..self.groups.len()).filter(fed).min_by(by_plenty) else { return };
+            let Some(rich) = (0..self.groups.len()).filter(full).max_by(by_plenty) else { return };
             // Home first, then away from where it is a guest.
-            let (from, to) = (self.groups[rich].zone, self.groups[poor].zone);
             let key = |s: &Server| {
                 let zone = Some(self.nodes[*s].zone);
-                (zone != to, zone == from)
+                (zone != self.groups[poor].zone, zone == self.groups[rich].zone)
             };
-            let movable = |s: &Server| self.nodes[*s].group == Some(rich) && self.nodes[*s].in_service();
+            let movable = |s: &Server| self.nodes[*s].group == Some(rich) && self.weight(*s) > 0.0;
             let Some(s) = (0..self.nodes.len()).filter(movable).min_by_key(key) else { return };
             let weight = self.weight(s);
             // A fifth apart is within what a few seconds of reports tell.
@@ -679,7 +680,6 @@
         self.reach(&concerned);
     }
 
-    /// Sets the levels that changed, in every table.
     fn set_levels(&mut self, cost: f64, orders: &mut Vec<Order>) {
         for (class, (level, tries)) in self.levels().into_iter().enumerate() {
             let old = at(&mut self.gate.sent, class);
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -472,6 +472,18 @@
     assert!(planner.groups.iter().all(|g| g.weight > 0.0));
 }
 
+#[test]
+fn a_group_without_proxies_gives_its_servers_to_those_that_lost_theirs() {
+    let mut planner = large();
+    planner.deal(true);
+    planner.nodes.iter_mut().filter(|n| n.zone == 1).for_each(|n| n.standing = Withdrawn);
+    planner.proxies.iter_mut().filter(|p| p.zone == 0).for_each(|p| p.here = false);
+    planner.deal(true);
+    let fed = |g: &&Group| g.load > 0.0;
+    assert!(planner.groups.iter().filter(fed).all(|g| g.weight > 0.0));
+    assert!(planner.groups.iter().all(|g| g.load > 0.0 || g.weight <= 0.0));
+}
+
 #[test]
 fn a_line_goes_to_its_own_group_alone() {
     let mut planner = large();
