Balance at once where a group has under half of its part; unknown is no standing of its own

Failures count wherever they are met. Silence changes no standing, so none is kept for it; levels by share, which no deployment has, go. May move servers to and fro where a group's load jumps.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -21,7 +21,7 @@
 
 impl Node {
     pub(crate) fn in_service(&self) -> bool {
-        matches!(self.standing, Unknown | Eligible | Ramping)
+        matches!(self.standing, Eligible | Ramping)
     }
 
     fn ready(&self) -> bool {
@@ -143,10 +143,8 @@
                 blend(at(&mut node.flow, *zone), f64::from(good) / span.as_secs_f64().max(0.1), 0.5);
                 (node.tries, node.failed) = (node.tries + *tries as f32, node.failed + *failed as f32);
                 node.run += *failed as f32;
-                if node.in_service() {
-                    let met = &mut self.gate.met[usize::from(node.apart)];
-                    *met = (met.0 + *tries as f64, met.1 + *failed as f64);
-                }
+                let met = &mut self.gate.met[usize::from(node.apart)];
+                *met = (met.0 + *tries as f64, met.1 + *failed as f64);
                 if good > 0.0 {
                     (node.run, node.good_at, node.stranger) = (0.0, now, false);
                     node.times.add(took, good);
@@ -244,7 +242,6 @@
             let dead = dead || node.refused || (node.unanswered >= 2 && quiet >= 1.5);
             // Dropped from the list and nothing good any more, or never anything good: it is not there.
             let absent = node.run >= 1.0 && (node.stranger || (node.dropped && mute));
-            let heard = now < node.heard + secs(3);
             let waited = now.saturating_sub(node.since);
             match node.standing {
                 _ if node.in_service() && absent => node.drop_out(false, now),
@@ -260,8 +257,6 @@
                 // The design's ten seconds.
                 Probation if waited >= secs(10) => node.enter(Ramping, now),
                 Ramping if full => node.standing = Eligible,
-                Eligible if !heard => node.standing = Unknown,
-                Unknown if heard => node.standing = Eligible,
                 _ => {}
             }
         }
@@ -418,7 +413,7 @@
         }
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = self.now >= gate.changed + secs(if limited { 2 } else { 1 });
-        let leveled = matches!(self.facts.text("levels.kind"), "pace" | "share");
+        let leveled = self.facts.text("levels.kind") == "pace";
         if pressure > 1.0 && rested {
             self.cut(fleet, came, leveled);
         } else if pressure < 0.9 {
@@ -502,12 +497,8 @@
             let all: f64 = came.iter().sum();
             let part = rest.max(all * 0.05);
             // One pace for every proxy binds the busy ones until the sum fits; else, room for a fifth more.
-            levels[class].0 = if self.facts.text("levels.kind") == "share" {
-                Some(part / all).filter(|level| *level < 1.0)
-            } else {
-                let most = came.iter().copied().reduce(f64::max);
-                even_level(came, part).or(most.map(|most| most * 1.2))
-            };
+            let most = came.iter().copied().reduce(f64::max);
+            levels[class].0 = even_level(came, part).or(most.map(|most| most * 1.2));
             rest = (rest - all).max(0.0);
         }
         levels
@@ -540,7 +531,9 @@
                 group.weight += weight;
             }
         }
-        if beat || self.groups.iter().any(|g| g.load > 0.0 && g.weight <= 0.0) {
+        // Under half of its part: the cold ones in it would be pushed over before the next beat.
+        let (weight, load) = self.groups.iter().fold((0.0, 0.0), |a, g| (a.0 + g.weight, a.1 + g.load));
+        if beat || self.groups.iter().any(|g| g.weight * load < 0.5 * weight * g.load) {
             self.balance();
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,8 +19,6 @@
     /// Not on the list, or no longer.
     #[default]
     Unlisted,
-    /// In service, but nothing heard of late.
-    Unknown,
     Eligible,
     /// In service on a growing part of its weight.
     Ramping,
