Bind: tables of before are kept under a list that misses many of those who answer

Where only a marked drain binds, a proxy that brings tables waits for the first reports, and none is bound while over four tenths of what is answered comes from servers that were never listed; a listed drain ends the wait. A server that answered all along is no stranger when the list returns. Holds against any stale or partial first list; costs two seconds of old weights after a restart.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,6 +1,5 @@
-//! Every decision of a planner, through [`Planner::decide`] alone: note what happened, judge each server's
-//! standing, keep a floor per zone, weigh the servers in service, set levels, deal into groups, send. Words,
-//! events and orders stand in `interface.rs`; `docs/design.md` says what follows the source.
+//! Every decision of a planner, through [`Planner::decide`] alone: note, judge, keep a floor per zone, weigh,
+//! gauge, deal into groups, send. `docs/design.md` says what follows the source.
 
 use crate::interface::{Class, Server, Table};
 use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
@@ -122,11 +121,11 @@
             }
             Event::Listed { how: Listing::Failed, .. } => orders.push(Order::Subscribe { on: true }),
             Event::Listed { how, entries } => self.list(*how, entries),
-            Event::Joined { proxy, rate, zone, .. } => {
-                let classes = self.fact("classes", 0.0);
+            Event::Joined { proxy, rate, zone, fresh } => {
+                let (classes, old) = (self.fact("classes", 0.0), !fresh);
                 let came = vec![rate / classes; classes as usize];
-                *at(&mut self.proxies, *proxy) =
-                    Joined { here: true, zone: *zone, came, ..Joined::default() };
+                let come = Joined { here: true, old, zone: *zone, came, ..Joined::default() };
+                *at(&mut self.proxies, *proxy) = come;
                 self.pressing = true;
             }
             Event::Left { proxy } => {
@@ -195,9 +194,11 @@
                 // The list was wrong, or has only now become right: the same process, warm by its age.
                 Mode::Ready if known && stays => node.enter(Ramping, now),
                 Mode::Ready => {
-                    // On the first list an old server is in full service; later it has to show that it is there.
-                    let old = first && e.started.is_none();
-                    node.stranger = !first && stays && e.started.is_none();
+                    // An old server is in full service if the list is the first, or it answered all along;
+                    // else it has yet to show that it is there.
+                    let there = first || (stays && now < node.good_at + secs(3));
+                    let old = there && e.started.is_none();
+                    node.stranger = !there && stays && e.started.is_none();
                     node.enter(if old { Eligible } else { Ramping }, now);
                     (node.swift, node.heard, node.good_at, node.dropped) = (1.0, now, now, false);
                     (node.times, node.work, node.busy) = Default::default();
@@ -282,10 +283,9 @@
         orders.push(Order::Log { text: format!("server {s} {node}") });
     }
 
-    /// Under half of a zone in service: what was withdrawn there returns, ramping. Servers that gave nothing
-    /// good at all stay out while half of the whole fleet is in service: a dead zone would only take queries.
+    /// Under half of a zone in service: what was withdrawn there returns, ramping; what gave nothing good at
+    /// all, only under half of the fleet.
     fn floor(&mut self) {
-        // Ready servers less two for each in service, by zone and, last, of the fleet.
         let fleet = self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0);
         let mut out = vec![0; fleet + 1];
         for node in self.nodes.iter().filter(|n| n.ready()) {
@@ -396,7 +396,9 @@
         let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
         let gate = &mut self.gate;
         let heard = self.nodes.iter().filter(|n| self.now < n.heard + secs(3));
+        let listed = heard.clone().filter(|n| n.listed > 0.0).flat_map(|n| &n.flow).sum::<f64>();
         gate.handled = heard.flat_map(|n| &n.flow).sum();
+        gate.astray = listed < 0.6 * gate.handled;
         gate.beats += u32::from(gate.handled > 0.0);
         let (limited, pressure) = (gate.limit.is_some_and(|l| l < came) || gate.apart != 0, gate.pressure[0]);
         // What the fleet could handle by its weight: the lighter the pressure, the more above what it handles
@@ -638,7 +640,7 @@
         self.channel.reached.extend(reached);
     }
 
-    /// Sets the lines that are most off first, what is out before all.
+    /// Sets the lines, those most off first.
     fn lines(&mut self, ordinary: bool, orders: &mut Vec<Order>) {
         let mut wanted: Vec<(f64, Server, Option<Line>)> = Vec::new();
         for (s, node) in self.nodes.iter().enumerate() {
@@ -687,13 +689,18 @@
         }
     }
 
-    /// Binds those that are on no table yet, or whose classes changed sides.
+    /// Binds those that are on no table yet, or whose classes changed sides. Where the list misses many that
+    /// answer, they keep the tables of before, until it tells of a drain; with those, reports are waited for.
     fn bind(&mut self, orders: &mut Vec<Order>) {
+        let drains = self.nodes.iter().any(|n| n.standing == Draining);
+        let doubts = !drains && self.facts.flag("drain.marked_only");
         for (proxy, joined) in self.proxies.iter_mut().enumerate().filter(|(_, p)| p.here) {
-            let Some(g) = joined.group.filter(|g| self.groups[*g].weight > 0.0) else { continue };
-            let Group { servers, apart, .. } = self.groups[g];
+            let Some(g) = joined.group else { continue };
+            let Group { servers, apart, weight, .. } = self.groups[g];
+            let early = joined.old && self.gate.beats < 2;
+            let keeps = doubts && joined.bound.is_none() && (early || self.gate.astray);
             let cost = 2.0 * (1 + servers + self.gate.sent.len()) as f64;
-            if joined.bound == Some(apart) || cost > self.channel.room {
+            if joined.bound == Some(apart) || cost > self.channel.room || weight <= 0.0 || keeps {
                 continue;
             }
             orders.push(Order::Bind { proxy, table: table(g, false), classes: 0 });
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -130,6 +130,25 @@
     assert_eq!(standings(&planner)[0], Unlisted);
 }
 
+#[test]
+fn under_a_list_that_misses_many_who_answer_the_tables_of_before_are_kept() {
+    let mut planner = under_marked_only(well(0));
+    planner.proxies = vec![Joined { old: true, ..proxy(None) }];
+    (planner.gate.astray, planner.gate.beats) = (true, 9);
+    planner.bind(&mut vec![]);
+    assert_eq!(planner.proxies[0].bound, None);
+    planner.nodes[1].standing = Draining;
+    sent(&mut planner);
+    assert_eq!(planner.proxies[0].bound, Some(0));
+}
+
+#[test]
+fn a_server_that_answered_all_along_is_no_stranger() {
+    let mut planner = under_marked_only(Node { listed: 0.0, standing: Unlisted, ..well(0) });
+    planner.list(Listing::Changes, &[entry(Mode::Ready, None)]);
+    assert_eq!((standings(&planner)[0], planner.nodes[0].stranger), (Eligible, false));
+}
+
 #[test]
 fn a_marked_drain_binds_whatever_the_list_says_next() {
     let mut planner = under_marked_only(well(0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,6 +115,8 @@
 #[derive(Debug, Default)]
 pub struct Joined {
     pub here: bool,
+    /// It came with tables of before.
+    pub old: bool,
     pub zone: Zone,
     pub group: Option<usize>,
     /// The classes set apart there, a bit each, once it is bound.
@@ -182,6 +184,8 @@
     pub met: [(f64, f64); 2],
     /// Good answers a second, and the most of late.
     pub handled: f64,
+    /// Many of those that answer were never listed.
+    pub astray: bool,
     /// Beats with reports since the start.
     pub beats: u32,
     pub best: f64,
