--- a/src/logic.rs
+++ b/src/logic.rs
@@ -167,7 +167,6 @@
         }
     }
 
-    /// Keeps the parts of a load report that the weights use.
     fn loaded(&mut self, server: Server, load: &[f64]) {
         for (k, &value) in load.iter().enumerate().filter(|(_, v)| v.is_finite() && **v > 0.0) {
             let node = at(&mut self.nodes, server);
@@ -302,7 +301,6 @@
         }
     }
 
-    /// The part of its weight that a server may carry now.
     fn ramp(&self, s: Server) -> f64 {
         let node = &self.nodes[s];
         // The design's ramp: from a tenth to the full weight over ten seconds.
@@ -477,7 +475,6 @@
             gate.limit = Some(rise.min(came * 1.3).min(if gate.beats < 4 { f64::MAX } else { most }));
         }
         gate.part = (gate.part * step).min(0.8);
-        // Together again once both parts are at ease.
         if gate.pressure[1] < 0.9 && rested {
             gate.apart = 0;
         }
@@ -542,7 +539,6 @@
 
     fn divide(&mut self) {
         let ready = self.nodes.iter().filter(|n| n.ready()).count() as f64;
-        // Seconds of the channel that a table of all takes.
         let proxies = self.fact("proxies", 0.0) / self.fact("planners", 1.0);
         let lay = ready * proxies / self.fact("channel.pace", f64::INFINITY);
         // Where proxies come to a planner by chance, those here tell how much each zone gets.
@@ -591,9 +587,14 @@
             let open: Vec<(Server, f64)> = warm.map(|s| (s, self.weight(s))).collect();
             let mut left = open.iter().map(|(_, weight)| weight).sum::<f64>() * self.gate.part;
             self.groups[g].apart = if open.len() < 4 { 0 } else { self.gate.apart };
+            // The table of those apart stays as it is until the last proxy is off it.
+            let on = |p: &Joined| p.here && p.group == Some(g) && p.bound.is_some_and(|b| b != 0);
+            if self.groups[g].apart == 0 && self.proxies.iter().any(on) {
+                continue;
+            }
             self.nodes.iter_mut().filter(|n| n.group == Some(g)).for_each(|n| n.apart = false);
-            for (s, weight) in open.into_iter().skip(1).filter(|_| self.groups[g].apart != 0) {
-                self.nodes[s].apart = left > 0.0;
+            for (s, weight) in open.into_iter().skip(1) {
+                self.nodes[s].apart = left > 0.0 && self.groups[g].apart != 0;
                 left -= weight;
             }
         }
@@ -640,7 +641,6 @@
         self.channel.reached.extend(reached);
     }
 
-    /// Sets the lines, those most off first.
     fn lines(&mut self, ordinary: bool, orders: &mut Vec<Order>) {
         let mut wanted: Vec<(f64, Server, Option<Line>)> = Vec::new();
         for (s, node) in self.nodes.iter().enumerate() {
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -433,6 +433,17 @@
     assert_eq!(apart, [false, false, true, true, true]);
 }
 
+#[test]
+fn the_table_of_those_apart_stays_until_the_last_proxy_is_off_it() {
+    let mut planner = planner((0..5).map(|s| Node { apart: s == 1, ..well(0) }).collect());
+    planner.proxies = vec![proxy(Some(1))];
+    planner.part();
+    assert!(planner.nodes[1].apart);
+    planner.proxies[0].bound = Some(0);
+    planner.part();
+    assert!(!planner.nodes[1].apart);
+}
+
 #[test]
 fn a_small_fleet_is_not_parted() {
     let mut planner = planner(vec![well(0), well(0), well(0)]);
