--- a/src/logic.rs
+++ b/src/logic.rs
@@ -311,8 +311,7 @@
         let (from, warm) = (self.fact("cold.from", 0.1), self.fact("cold.warm_after", 20.0).max(0.1));
         let least = (from + (1.0 - from) * self.now.saturating_sub(started).as_secs_f64() / warm).min(1.0);
         // The harder pressed the fleet, the warmer it must be: what full ones shun is heaped on a fresh one.
-        let entry = if node.sent.is_none() { 0.4 } else { 0.0 };
-        if least < (0.2 * self.gate.pressure[0]).clamp(entry, 1.0) {
+        if least < (0.2 * self.gate.pressure[0]).clamp(0.4, 1.0) {
             return 0.0;
         }
         part.min(least.powf(1.3).max(0.1))
@@ -428,10 +427,10 @@
         for (k, times) in gate.times.iter_mut().enumerate() {
             let (tries, failed) = gate.met[k];
             gate.met[k] = (tries * 0.5, failed * 0.5);
-            gate.late[k] = if times.count() < 10.0 { 0.0 } else { times.mean() / slow };
             // One failed try in seven is more than a few servers' trouble; with the rest quick, no overload.
-            let failures = (failed / (tries + 1.0) / 0.15).min(gate.late[k] * 1.6);
-            gate.pressure[k] = gate.late[k].max(failures);
+            let failures = failed / (tries + 1.0) / 0.15;
+            gate.late[k] = if times.count() < 10.0 { failures } else { times.mean() / slow };
+            gate.pressure[k] = gate.late[k].max(failures.min(gate.late[k] * 1.6));
             times.halve();
         }
     }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -330,9 +330,10 @@
 }
 
 #[test]
-fn a_server_just_started_waits_its_first_seconds() {
+fn a_server_just_started_waits_its_first_seconds_in_a_table_or_not() {
     let new = Node { sent: None, ..cold(1) };
-    assert_eq!(planner(vec![new]).ramp(0), 0.0);
+    let planner = planner(vec![new, cold(1)]);
+    assert_eq!((planner.ramp(0), planner.ramp(1)), (0.0, 0.0));
 }
 
 #[test]
@@ -414,6 +415,23 @@
     assert!(planner.gate.limit.is_some_and(|limit| limit < 50.0));
 }
 
+#[test]
+fn a_jam_that_answers_nothing_is_no_ease() {
+    let mut planner = leveled(vec![well(0)]);
+    planner.gate.met[0] = (100.0, 99.0);
+    planner.press();
+    assert!(planner.gate.pressure[0] > 4.0);
+}
+
+#[test]
+fn quick_answers_beside_failures_are_no_overload() {
+    let mut planner = leveled(vec![well(0)]);
+    planner.gate.met[0] = (100.0, 40.0);
+    planner.gate.times[0].add(0.2, 60.0);
+    planner.press();
+    assert!(planner.gate.pressure[0] < 1.0);
+}
+
 #[test]
 fn without_levels_the_least_class_is_set_apart() {
     let mut planner = leveled(vec![well(0)]);
