--- a/src/logic.rs
+++ b/src/logic.rs
@@ -395,7 +395,7 @@
         let heard = self.nodes.iter().filter(|n| self.now < n.heard + secs(3));
         let listed = heard.clone().filter(|n| n.listed > 0.0).flat_map(|n| &n.flow).sum::<f64>();
         gate.handled = heard.flat_map(|n| &n.flow).sum();
-        gate.astray = listed < 0.6 * gate.handled;
+        gate.astray = listed < 0.85 * gate.handled;
         gate.beats += u32::from(gate.handled > 0.0);
         let (limited, pressure) = (gate.limit.is_some_and(|l| l < came) || gate.apart != 0, gate.pressure[0]);
         // What the fleet could handle by its weight: the lighter the pressure, the more above what it handles
