Balance: a group that can spare none does not stop the others; each is due three servers

Now the next richest gives, and a group of few queries is due three tenths of a usual one. Holds against any uneven loss; costs idle servers in groups that ask for little.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -71,7 +71,6 @@
     proxies: Vec<Joined>,
     channel: Channel,
     gate: Gate,
-    /// Those that share a table: one group of all, unless the fleet is too large for that.
     groups: Vec<Group>,
     next_beat: Duration,
     halved_at: Duration,
@@ -193,8 +192,7 @@
                 // The list was wrong, or has only now become right: the same process, warm by its age.
                 Mode::Ready if known && stays => node.enter(Ramping, now),
                 Mode::Ready => {
-                    // An old server is in full service if the list is the first, or it answered all along;
-                    // else it has yet to show that it is there.
+                    // The list is the first, or it answered all along; else it has yet to show that it is there.
                     let there = first || (stays && now < node.good_at + secs(3));
                     let old = there && e.started.is_none();
                     node.stranger = !there && stays && e.started.is_none();
@@ -235,8 +233,7 @@
             }
             let quiet = now.saturating_sub(node.good_at).as_secs_f32();
             let mute = quiet >= (6.0 * hush).max(2.5);
-            // Nothing but failures, as chance gives them once in ten thousand times, and nothing good between
-            // them, as still comes from a full server. Those set apart are meant to be full.
+            // Failures alone, past chance, and longer than a full server gives them; those apart are to be full.
             let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && mute && !node.apart;
             // Silence alone is no failure; two unanswered probes on top of it are.
             let dead = dead || node.refused || (node.unanswered >= 2 && quiet >= 1.5);
@@ -282,8 +279,7 @@
         orders.push(Order::Log { text: format!("server {s} {node}") });
     }
 
-    /// Under half of a zone in service: what was withdrawn there returns, ramping; what gave nothing good at
-    /// all, only under half of the fleet.
+    /// Under half of a zone in service: what was withdrawn returns; what was dead, only under half of all.
     fn floor(&mut self) {
         let fleet = self.nodes.iter().map(|n| n.zone + 1).max().unwrap_or(0);
         let mut out = vec![0; fleet + 1];
@@ -385,8 +381,7 @@
         0.45 * if all > 0.0 { sum / all } else { f64::INFINITY }
     }
 
-    /// Once a beat: how hard pressed the fleet is. Further tries are cut first; levels, or the room of the
-    /// least class, only when that does not help.
+    /// How hard pressed the fleet is: further tries are cut first, levels only when that does not help.
     fn gauge(&mut self) {
         self.press();
         let fleet = (0..self.nodes.len()).map(|s| self.weight(s)).sum::<f64>().max(1e-3);
@@ -458,7 +453,6 @@
         // Picked by chance, queries queue at a lower load than in turns.
         let room = if self.facts.text("pick") == "chance" { 0.7 } else { 0.8 };
         let gate = &mut self.gate;
-        // The more room, the longer the step: a fleet at rest is let in within a few seconds.
         let ease = 1.0 - gate.pressure[0];
         let step = 1.0 + 0.2 * ease;
         if leveled && gate.beats >= 3 {
@@ -529,8 +523,12 @@
                 group.weight += weight;
             }
         }
-        // Under half of its part: the cold ones in it would be pushed over before the next beat.
+        // However little its proxies ask for, a group is due three servers, so that it may lose one.
         let (weight, load) = self.groups.iter().fold((0.0, 0.0), |a, g| (a.0 + g.weight, a.1 + g.load));
+        let least = 0.3 * load / self.groups.len() as f64;
+        let fed = self.groups.iter_mut().filter(|g| g.proxies > 0.0);
+        fed.for_each(|g| g.load = g.load.max(least));
+        // Under half of its part, the cold ones in it would be pushed over before the next beat.
         if beat || self.groups.iter().any(|g| g.weight * load < 0.5 * weight * g.load) {
             self.balance();
         }
@@ -552,29 +550,33 @@
 
     /// Servers go where there is most to do for the weight, one by one; a group without proxies gives all.
     fn balance(&mut self) {
-        for _ in 0..self.nodes.len() {
+        let mut spent = BTreeSet::new();
+        for _ in 0..self.nodes.len() + self.groups.len() {
             let plenty = |g: &usize| self.groups[*g].weight / self.groups[*g].load;
             let by_plenty = |a: &usize, b: &usize| plenty(a).total_cmp(&plenty(b));
-            let (fed, full) =
-                (|g: &usize| self.groups[*g].load > 0.0, |g: &usize| self.groups[*g].weight > 0.0);
-            let Some(poor) = (0..self.groups.len()).filter(fed).min_by(by_plenty) else { return };
-            let Some(rich) = (0..self.groups.len()).filter(full).max_by(by_plenty) else { return };
+            let fed = (0..self.groups.len()).filter(|g| self.groups[*g].proxies > 0.0);
+            let full = (0..self.groups.len()).filter(|g| self.groups[*g].weight > 0.0 && !spent.contains(g));
+            let (Some(poor), Some(rich)) = (fed.min_by(by_plenty), full.max_by(by_plenty)) else { return };
+            // A fifth apart is within what a few seconds of reports tell.
+            if poor == rich || plenty(&rich) < plenty(&poor) * 1.2 {
+                return;
+            }
             // Home first, then away from where it is a guest.
             let key = |s: &Server| {
                 let zone = Some(self.nodes[*s].zone);
                 (zone != self.groups[poor].zone, zone == self.groups[rich].zone)
             };
             let movable = |s: &Server| self.nodes[*s].group == Some(rich) && self.weight(*s) > 0.0;
-            let Some(s) = (0..self.nodes.len()).filter(movable).min_by_key(key) else { return };
-            let weight = self.weight(s);
-            // A fifth apart is within what a few seconds of reports tell.
-            let after = (self.groups[rich].weight - weight) / self.groups[rich].load;
-            if plenty(&rich) < plenty(&poor) * 1.2 || after < plenty(&poor) || poor == rich {
-                return;
+            let found = (0..self.nodes.len()).filter(movable).min_by_key(key).map(|s| (s, self.weight(s)));
+            let Group { weight, load, proxies, .. } = self.groups[rich];
+            let spares = |(_, one): &(Server, f64)| proxies == 0.0 || (weight - one) / load >= plenty(&poor);
+            if let Some((s, one)) = found.filter(spares) {
+                self.nodes[s].group = Some(poor);
+                self.groups[rich].weight -= one;
+                self.groups[poor].weight += one;
+            } else {
+                spent.insert(rich);
             }
-            self.nodes[s].group = Some(poor);
-            self.groups[rich].weight -= weight;
-            self.groups[poor].weight += weight;
         }
     }
 
@@ -611,8 +613,7 @@
         if count < 1.0 || free < 0.0 {
             return;
         }
-        // Where messages are counted, one to all goes out every so often with all that is due, so that two are
-        // always left, a bind's among them: a drain waits a second at most, and never for its turn.
+        // Where messages are counted, one goes out every so often with all that is due: two are always left.
         let wait = most > 0.0 && now < self.channel.last + over.div_f64((most - 2.0).max(1.0));
         let ordinary = if most > 0.0 { !wait } else { beat };
         if ordinary || self.gate.apart != 0 {
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -527,9 +527,19 @@
     planner.nodes.iter_mut().filter(|n| n.zone == 1).for_each(|n| n.standing = Withdrawn);
     planner.proxies.iter_mut().filter(|p| p.zone == 0).for_each(|p| p.here = false);
     planner.deal(true);
-    let fed = |g: &&Group| g.load > 0.0;
-    assert!(planner.groups.iter().filter(fed).all(|g| g.weight > 0.0));
-    assert!(planner.groups.iter().all(|g| g.load > 0.0 || g.weight <= 0.0));
+    assert!(planner.groups.iter().all(|g| (g.proxies > 0.0) == (g.weight > 1e-9)));
+}
+
+#[test]
+fn a_group_that_can_spare_none_does_not_stop_the_others() {
+    let mut planner = large();
+    planner.deal(true);
+    // One server is far too much for its group already; another group has none.
+    planner.proxies.iter_mut().filter(|p| p.group == Some(0)).for_each(|p| p.came = vec![1e-3]);
+    planner.nodes.iter_mut().filter(|n| n.group == Some(0)).skip(1).for_each(|n| n.group = Some(1));
+    planner.nodes.iter_mut().filter(|n| n.group == Some(4)).for_each(|n| n.group = Some(1));
+    planner.deal(false);
+    assert!(planner.groups[4].weight > 0.0);
 }
 
 #[test]
