--- a/src/logic.rs
+++ b/src/logic.rs
@@ -192,7 +192,7 @@
                 // The list was wrong, or has only now become right: the same process, warm by its age.
                 Mode::Ready if known && stays => node.enter(Ramping, now),
                 Mode::Ready => {
-                    // The list is the first, or it answered all along; else it has yet to show that it is there.
+                    // On the first list, or it answered all along; else it has yet to show that it is there.
                     let there = first || (stays && now < node.good_at + secs(3));
                     let old = there && e.started.is_none();
                     node.stranger = !there && stays && e.started.is_none();
@@ -219,7 +219,7 @@
         let heard = self.nodes.iter().filter(|n| n.in_service() && !n.apart && n.tries >= 2.0);
         let usual = middle(heard.clone().map(|n| n.failed / n.tries).collect());
         let hush = middle(heard.map(|n| now.saturating_sub(n.good_at).as_secs_f32()).collect());
-        // Half of the tries is a burst of time-outs at a full server too; and it must stand out from the rest.
+        // Half of the tries is a burst of time-outs at a full server too; it must stand out from the rest.
         let mark = (2.0 * usual + 0.2).max(0.65);
         let mut failing = Vec::new();
         for s in 0..self.nodes.len() {
@@ -233,7 +233,7 @@
             }
             let quiet = now.saturating_sub(node.good_at).as_secs_f32();
             let mute = quiet >= (6.0 * hush).max(2.5);
-            // Failures alone, past chance, and longer than a full server gives them; those apart are to be full.
+            // Failures alone, past chance, longer than a full server gives them; those apart are to be full.
             let dead = node.run >= 4.0 && usual.max(0.02).powf(node.run) < 1e-4 && mute && !node.apart;
             // Silence alone is no failure; two unanswered probes on top of it are.
             let dead = dead || node.refused || (node.unanswered >= 2 && quiet >= 1.5);
