--- a/src/logic.rs
+++ b/src/logic.rs
@@ -435,7 +435,7 @@
         let gate = &mut self.gate;
         if gate.tries_cut && leveled {
             // Below what is handled, or could be when a cut was needed, so that what waits is worked off.
-            gate.knee = if gate.knee == 0.0 { gate.best } else { gate.knee };
+            gate.knee = if gate.knee == 0.0 { gate.best.max(gate.handled / fleet) } else { gate.knee };
             let part = (1.0 - 0.15 * gate.pressure[0]).clamp(0.5, 0.9);
             let below = gate.handled.max(gate.knee * fleet * 0.6) * part;
             // Where failures alone press, servers may be sick and not full: a step down, no more.
@@ -460,7 +460,7 @@
             let knee = gate.knee * fleet * 0.9;
             let rise = match gate.limit.unwrap_or(f64::MAX) {
                 l if l < knee => (l * step * 1.1).min(knee),
-                l if gate.knee > 0.0 => l * (1.0 + 0.04 * ease),
+                l if gate.knee > 0.0 => l * (1.0 + 0.2 * ease * ease),
                 l => l * step,
             };
             // A limit a third above what comes stays on, against surges; the guess binds after three seconds.
