--- a/src/logic.rs
+++ b/src/logic.rs
@@ -396,10 +396,10 @@
         // What the fleet could handle by its weight: the lighter the pressure, the more above what it handles
         // now (the root is a cautious fit). Held back by a limit at ease it rises, or it would sink with it.
         let guess = gate.handled / fleet / pressure.max(0.4).sqrt();
-        if gate.beats >= 3 && pressure < 1.0 && (!limited || guess > gate.best) {
+        if gate.beats >= 3 && pressure < 1.0 && (!limited || guess > gate.best || pressure > 0.7) {
             blend(&mut gate.best, guess, 0.15);
-        } else if limited && pressure < 0.8 {
-            gate.best *= 1.0 + 0.1 * (1.0 - pressure);
+        } else if limited && pressure < 0.7 {
+            gate.best *= 1.0 + 0.3 * (0.7 - pressure);
         }
         if gate.beats >= 1 && pressure < 0.85 && !limited {
             // What has come for some seconds without pressing it, it can handle whatever the guess says.
