--- a/src/logic.rs
+++ b/src/logic.rs
@@ -226,8 +226,8 @@
             let full = self.ramp(s) >= 1.0;
             let node = &mut self.nodes[s];
             node.halved = false;
-            // A probe every two seconds is well under a hundredth of a server's work.
-            if probes && node.ready() && now >= node.probed + secs(2) {
+            // A probe every four seconds: two in a row tell of a silent server, and six planners may ask.
+            if probes && node.ready() && now >= node.probed + secs(4) {
                 node.probed = now;
                 orders.push(Order::Probe { server: s });
             }
@@ -541,7 +541,7 @@
         // Where proxies come to a planner by chance, those here tell how much each zone gets.
         let zones = if self.facts.flag("home_first") { 1.0 } else { self.fact("zones", 1.0).max(1.0) };
         // Ten servers are few enough that their connections stay open, and enough to lose some.
-        let count = if lay < 0.3 { ready.min(1.0) } else { (ready / 10.0 / zones).ceil() * zones };
+        let count = if lay < 0.15 { ready.min(1.0) } else { (ready / 10.0 / zones).ceil() * zones };
         // Where keys fall into slices nothing is ordered so far (docs/design.md).
         let count = if self.fact("slices", 0.0) > 0.0 { 0.0 } else { count };
         let zone = |g| (zones > 1.0 && count > 1.0).then_some(g % zones as usize);
@@ -557,8 +557,8 @@
             let fed = (0..self.groups.len()).filter(|g| self.groups[*g].proxies > 0.0);
             let full = (0..self.groups.len()).filter(|g| self.groups[*g].weight > 0.0 && !spent.contains(g));
             let (Some(poor), Some(rich)) = (fed.min_by(by_plenty), full.max_by(by_plenty)) else { return };
-            // A fifth apart is within what a few seconds of reports tell.
-            if poor == rich || plenty(&rich) < plenty(&poor) * 1.2 {
+            // A third apart is within what a few seconds of reports tell, and a move costs connections.
+            if poor == rich || plenty(&rich) < plenty(&poor) * 1.35 {
                 return;
             }
             // Home first, then away from where it is a guest.
