--- a/src/logic.rs
+++ b/src/logic.rs
@@ -383,7 +383,8 @@
 
     /// How hard pressed the fleet is: further tries are cut first, levels only when that does not help.
     fn gauge(&mut self) {
-        self.press();
+        let leveled = self.facts.text("levels.kind") == "pace";
+        self.press(leveled);
         let fleet = (0..self.nodes.len()).map(|s| self.weight(s)).sum::<f64>().max(1e-3);
         let came: f64 = self.proxies.iter().flat_map(|p| &p.came).sum();
         let gate = &mut self.gate;
@@ -407,7 +408,6 @@
         }
         // What a change does is seen after the reports' delay and once the queues have run off.
         let rested = self.now >= gate.changed + secs(if limited { 2 } else { 1 });
-        let leveled = self.facts.text("levels.kind") == "pace";
         if pressure > 1.0 && rested {
             self.cut(fleet, came, leveled);
         } else if pressure < 0.9 {
@@ -415,9 +415,9 @@
         }
     }
 
-    /// The pressure on both sides: by slowness, and by failures as far as there is slowness.
-    fn press(&mut self) {
-        let slow = self.slow();
+    fn press(&mut self, leveled: bool) {
+        // Refusing queries for servers that are sick and not full costs more than setting a class apart.
+        let (slow, part) = (self.slow(), if leveled { 1.4 } else { 1.6 });
         let gate = &mut self.gate;
         for (k, times) in gate.times.iter_mut().enumerate() {
             let (tries, failed) = gate.met[k];
@@ -425,7 +425,7 @@
             // One failed try in seven is more than a few servers' trouble; with the rest quick, no overload.
             let failures = failed / (tries + 1.0) / 0.15;
             gate.late[k] = if times.count() < 10.0 { failures } else { times.mean() / slow };
-            gate.pressure[k] = gate.late[k].max(failures.min(gate.late[k] * 1.6));
+            gate.pressure[k] = gate.late[k].max(failures.min(gate.late[k] * part));
             times.halve();
         }
     }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -419,7 +419,7 @@
 fn a_jam_that_answers_nothing_is_no_ease() {
     let mut planner = leveled(vec![well(0)]);
     planner.gate.met[0] = (100.0, 99.0);
-    planner.press();
+    planner.press(true);
     assert!(planner.gate.pressure[0] > 4.0);
 }
 
@@ -428,7 +428,7 @@
     let mut planner = leveled(vec![well(0)]);
     planner.gate.met[0] = (100.0, 40.0);
     planner.gate.times[0].add(0.2, 60.0);
-    planner.press();
+    planner.press(true);
     assert!(planner.gate.pressure[0] < 1.0);
 }
 
