--- a/src/logic.rs
+++ b/src/logic.rs
@@ -30,7 +30,6 @@
     fn enter(&mut self, standing: Standing, now: Duration) {
         (self.standing, self.since) = (standing, now);
         if standing == Ramping {
-            // What was held against it belongs to the time before.
             (self.tries, self.failed, self.run, self.unanswered) = (0.0, 0.0, 0.0, 0);
             (self.refused, self.hard) = (false, false);
         }
@@ -50,7 +49,6 @@
             Found::NoConnection => self.refused = true,
             Found::NoAnswer => self.unanswered += 1,
             Found::Failed => (self.tries, self.failed) = (self.tries + 1.0, self.failed + 1.0),
-            // Too many probes, or draining: no word on its health.
             Found::TurnedAway | Found::Nothing => return,
         }
         match self.standing {
@@ -137,7 +135,6 @@
                 let (good, took) = (tries.saturating_sub(*failed) as f32, took.as_secs_f64());
                 let node = at(&mut self.nodes, *server);
                 node.heard = now;
-                // By the span that a line covers: lines come late and in bursts.
                 blend(at(&mut node.flow, *zone), f64::from(good) / span.as_secs_f64().max(0.1), 0.5);
                 (node.tries, node.failed) = (node.tries + *tries as f32, node.failed + *failed as f32);
                 node.run += *failed as f32;
@@ -249,7 +246,6 @@
                     node.halved = node.apart || (node.times.count() >= 1.0 && node.times.mean() > slow);
                 }
                 Held if waited >= secs(60) => node.enter(Withdrawn, now),
-                // With probes, one that was handled opens the probation.
                 Withdrawn if !probes => node.enter(Probation, now),
                 // The design's ten seconds.
                 Probation if waited >= secs(10) => node.enter(Ramping, now),
@@ -307,7 +303,9 @@
         let (from, warm) = (self.fact("cold.from", 0.1), self.fact("cold.warm_after", 20.0).max(0.1));
         let least = (from + (1.0 - from) * self.now.saturating_sub(started).as_secs_f64() / warm).min(1.0);
         // The harder pressed the fleet, the warmer it must be: what full ones shun is heaped on a fresh one.
-        if least < (0.2 * self.gate.pressure[0]).clamp(0.4, 1.0) {
+        // Before four beats of reports it is not known; a restarted planner may be amid an overload.
+        let pressure = if self.gate.beats < 4 { 2.5 } else { self.gate.pressure[0] };
+        if least < (0.12 * pressure.powi(2)).clamp(0.4, 1.0) {
             return 0.0;
         }
         part.min(least.powf(1.3).max(0.1))
@@ -561,7 +559,6 @@
             if poor == rich || plenty(&rich) < plenty(&poor) * 1.35 {
                 return;
             }
-            // Home first, then away from where it is a guest.
             let key = |s: &Server| {
                 let zone = Some(self.nodes[*s].zone);
                 (zone != self.groups[poor].zone, zone == self.groups[rich].zone)
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -19,7 +19,8 @@
 fn planner(nodes: Vec<Node>) -> Planner {
     let facts = facts(&[("channel.backlog", 4000.0), ("channel.overhead", 4.0)]);
     let (groups, chance) = (vec![Group::default()], Some(WyRand::new_seed(1)));
-    Planner { now: NOW, facts, nodes, groups, chance, ..Planner::default() }
+    let gate = Gate { beats: 9, ..Gate::default() };
+    Planner { now: NOW, facts, nodes, groups, chance, gate, ..Planner::default() }
 }
 
 fn proxy(bound: Option<u64>) -> Joined {
@@ -407,6 +408,16 @@
     assert!(planner.gate.limit.is_some_and(|limit| (20.0..36.0).contains(&limit)));
 }
 
+#[test]
+fn a_planner_that_knows_no_pressure_yet_keeps_half_warm_servers_out() {
+    let mut planner = planner(vec![cold(12)]);
+    planner.facts = facts(&[("cold.from", 0.2), ("cold.warm_after", 20.0)]);
+    planner.gate.beats = 1;
+    assert_eq!(planner.ramp(0), 0.0);
+    planner.gate.beats = 9;
+    assert!(planner.ramp(0) > 0.4);
+}
+
 #[test]
 fn a_lost_zone_lowers_the_limit_before_reports_tell() {
     let mut planner = leveled(vec![Node { flow: vec![50.0], ..well(0) }]);
