--- a/src/logic.rs
+++ b/src/logic.rs
@@ -304,7 +304,7 @@
         let least = (from + (1.0 - from) * self.now.saturating_sub(started).as_secs_f64() / warm).min(1.0);
         // The harder pressed the fleet, the warmer it must be: what full ones shun is heaped on a fresh one.
         // Before four beats of reports it is not known; a restarted planner may be amid an overload.
-        let pressure = if self.gate.beats < 4 { 2.5 } else { self.gate.pressure[0] };
+        let pressure = if self.gate.beats < 4 { 2.5 } else { self.gate.strain };
         if least < (0.12 * pressure.powi(2)).clamp(0.4, 1.0) {
             return 0.0;
         }
@@ -424,6 +424,8 @@
             let failures = failed / (tries + 1.0) / 0.15;
             gate.late[k] = if times.count() < 10.0 { failures } else { times.mean() / slow };
             gate.pressure[k] = gate.late[k].max(failures.min(gate.late[k] * part));
+            // What fails, for whatever cause, is heaped on a fresh server all the same.
+            gate.strain = if k == 0 { gate.late[0].max(failures) } else { gate.strain };
             times.halve();
         }
     }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -326,7 +326,7 @@
 #[test]
 fn a_hard_pressed_fleet_keeps_a_cold_server_out() {
     let mut planner = planner(vec![cold(5)]);
-    planner.gate.pressure[0] = 4.0;
+    planner.gate.strain = 4.0;
     assert_eq!(planner.ramp(0), 0.0);
 }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -177,6 +177,8 @@
 pub struct Gate {
     /// How hard pressed the fleet is, and the part of it for classes set apart: above 1 is too hard.
     pub pressure: [f64; 2],
+    /// The same for all, with every failure in it.
+    pub strain: f64,
     /// The part of that that is slowness.
     pub late: [f64; 2],
     pub times: [Histogram; 2],
