--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -96,6 +96,22 @@
     assert!(!orders.iter().any(|o| matches!(o, Order::Line { .. })));
 }
 
+#[test]
+fn odd_input_is_survived_and_ordered_about_nobody() {
+    let mut planner = Planner::default();
+    let start = Event::Start { seed: 1, facts: Facts::default() };
+    let nobody = Event::Listed { how: Listing::Whole, entries: vec![] };
+    let joined = Event::Joined { proxy: 9, zone: 7, rate: f64::NAN, fresh: false };
+    let probed = Event::Probed { server: 40, found: Found::NoAnswer, after: secs(1), load: vec![f64::NAN] };
+    let came = Event::Came { proxy: 3, class: 6, queries: 5, unanswered: 0, span: secs(0) };
+    let left = Event::Left { proxy: 12 };
+    let applied = Event::Applied { proxy: 12, mark: 7, after: secs(0) };
+    let woken = Event::Woken { token: 1 };
+    planner.decide(secs(1), &[start, nobody, joined, probed, came, left, applied, met(33, 2, 5, secs(0))]);
+    let orders = planner.decide(secs(2), &[woken]);
+    assert!(orders.iter().all(|order| matches!(order, Order::Wake { .. })), "{orders:?}");
+}
+
 #[test]
 fn a_restart_under_the_same_id_ramps() {
     let mut planner = planner(vec![well(0)]);
