Shelter: proxies of a group without servers go to one that has some; last servers stay

Change: a group keeps its last server; proxies whose group has none and is spared none are bound to the group that has most for what it does, once per span where messages are counted.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -532,6 +532,29 @@
         if beat || self.groups.iter().any(|g| g.weight * load < 0.5 * weight * g.load) {
             self.balance();
         }
+        self.shelter();
+    }
+
+    /// Fewer servers in service than groups: proxies whose group has none, and is spared none, go to the
+    /// group that has most for what it does. Guards against a fleet that shrinks under its groups, as in a
+    /// deploy amid an overload; could heap proxies on few servers, which levels then cut.
+    fn shelter(&mut self) {
+        // Where messages are counted, a second bind within the span would be one too many.
+        let counted = self.fact("channel.messages", 0.0) > 0.0;
+        let pause = self.facts.span("channel.messages_over").filter(|_| counted).unwrap_or(secs(2));
+        for proxy in self.proxies.iter_mut().filter(|p| p.here) {
+            let bare = proxy.group.is_some_and(|g| self.groups[g].weight <= 1e-9);
+            if !bare || proxy.moved.is_some_and(|at| self.now < at + pause) {
+                continue;
+            }
+            let open = (0..self.groups.len()).filter(|g| self.groups[*g].weight > 1e-9);
+            let plenty = |g: &usize| self.groups[*g].weight / self.groups[*g].load.max(1e-3);
+            let Some(to) = open.max_by(|a, b| plenty(a).total_cmp(&plenty(b))) else { return };
+            let group = &mut self.groups[to];
+            group.load += proxy.came.iter().sum::<f64>();
+            group.proxies += 1.0;
+            (proxy.group, proxy.bound, proxy.moved) = (Some(to), None, Some(self.now));
+        }
     }
 
     fn divide(&mut self) {
@@ -568,7 +591,9 @@
             let movable = |s: &Server| self.nodes[*s].group == Some(rich) && self.weight(*s) > 0.0;
             let found = (0..self.nodes.len()).filter(movable).min_by_key(key).map(|s| (s, self.weight(s)));
             let Group { weight, load, proxies, .. } = self.groups[rich];
-            let spares = |(_, one): &(Server, f64)| proxies == 0.0 || (weight - one) / load >= plenty(&poor);
+            // Never its last one: two groups would hand it to and fro, and one of them be bare at any time.
+            let keeps = |one: f64| weight > one * 1.01 && (weight - one) / load >= plenty(&poor);
+            let spares = |(_, one): &(Server, f64)| proxies == 0.0 || keeps(*one);
             if let Some((s, one)) = found.filter(spares) {
                 self.nodes[s].group = Some(poor);
                 self.groups[rich].weight -= one;
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -569,6 +569,30 @@
     assert!(planner.groups[4].weight > 0.0);
 }
 
+#[test]
+fn where_fewer_servers_than_groups_are_left_every_proxy_moves_to_one_that_has_some() {
+    let mut planner = large();
+    sent(&mut planner);
+    planner.nodes.iter_mut().skip(2).for_each(|n| n.standing = Draining);
+    planner.channel = Channel::default();
+    let orders = sent(&mut planner);
+    let held = |p: &Joined| planner.groups[p.group.unwrap()].weight > 0.5 && p.bound == Some(0);
+    assert!(planner.proxies.iter().all(held));
+    let binds = orders.iter().filter(|o| matches!(o, Order::Bind { .. })).count();
+    assert!((20..30).contains(&binds), "{binds}");
+}
+
+#[test]
+fn two_groups_do_not_hand_the_last_server_to_and_fro() {
+    let mut planner = large();
+    planner.deal(true);
+    planner.nodes.iter_mut().skip(1).for_each(|n| n.standing = Draining);
+    planner.deal(false);
+    let home = planner.nodes[0].group;
+    planner.deal(true);
+    assert_eq!(planner.nodes[0].group, home);
+}
+
 #[test]
 fn a_line_goes_to_its_own_group_alone() {
     let mut planner = large();
--- a/src/state.rs
+++ b/src/state.rs
@@ -119,6 +119,8 @@
     pub old: bool,
     pub zone: Zone,
     pub group: Option<usize>,
+    /// When it last went to another group, since its own had no server.
+    pub moved: Option<Duration>,
     /// The classes set apart there, a bit each, once it is bound.
     pub bound: Option<u64>,
     /// Queries a second that came, by class.
