Cores of the program: NETCONF, models, roster with its ledger, and the planner's driver

Change: netconf (framing, sessions of both sides, edit semantics, filters, datastores with candidate and confirmed commit, edit ids), model (XSD, YANG, typed views, the message to a proxy and its report), roster (feed and operators merged, ledger of edits), driver (events and orders of the module carried, tables mirrored, one message a proxy).

--- /dev/null
+++ b/driver/src/lib.rs
@@ -0,0 +1,366 @@
+//! The driver between the fronts and [`runloom::Planner`], free of I/O: names in, messages out. It keeps the
+//! tables as they were ordered, lays one message a proxy and reply, and counts what waits for confirmation.
+//! It decides nothing about servers; its own matters are what a message holds, and when a report is handed on.
+
+mod sums;
+mod tables;
+
+use runloom::ids::Ids;
+use runloom::interface::{Entry, Event, Found, Listing, Mode, Order, Proxy, Server, Table};
+use runloom::Planner;
+use runloom_model::fleet::Fleet;
+use runloom_model::order::Report;
+use runloom_roster::Change;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use sums::Sums;
+pub use tables::Laid;
+use tables::Tables;
+
+/// What a shell has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Deed {
+    /// One message to one proxy, numbered from 1 on at each proxy. Proxies on the same tables share the text.
+    Send { proxy: Proxy, number: u64, body: Rc<str>, lines: usize },
+    /// Ask the server how it is; the answer goes to [`Driver::probed`].
+    Probe { server: Server, address: SocketAddr },
+    /// A line for the log.
+    Log { text: String },
+}
+
+/// What one turn ordered, for the ledger.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Ordered {
+    pub servers: BTreeSet<String>,
+    pub proxies: Vec<(Proxy, u64)>,
+}
+
+/// A message on its way.
+#[derive(Debug, Clone, Copy)]
+struct Flying {
+    number: u64,
+    mark: Option<u16>,
+    lines: usize,
+    sent: Duration,
+}
+
+/// What is known of a joined proxy.
+#[derive(Debug, Default)]
+pub struct Member {
+    pub zone: String,
+    number: u64,
+    flying: VecDeque<Flying>,
+    pub ordered_at: Option<Duration>,
+    pub applied_at: Option<Duration>,
+    pub report_at: Option<Duration>,
+}
+
+impl Member {
+    /// Messages sent and not confirmed.
+    pub fn waiting(&self) -> usize {
+        self.flying.len()
+    }
+
+    /// How long the oldest of them has been on its way.
+    pub fn oldest(&self, now: Duration) -> Option<Duration> {
+        self.flying.front().map(|f| now.saturating_sub(f.sent))
+    }
+}
+
+/// One planner and what it is joined to.
+pub struct Driver {
+    planner: Planner,
+    fleet: Fleet,
+    servers: Ids<String>,
+    proxies: Ids<String>,
+    zones: Ids<String>,
+    kinds: Ids<String>,
+    addresses: BTreeMap<Server, SocketAddr>,
+    tables: Tables,
+    members: BTreeMap<Proxy, Member>,
+    sums: Sums,
+    happened: Vec<Event>,
+    wakes: BinaryHeap<std::cmp::Reverse<(Duration, u64)>>,
+    /// Milliseconds since 1970 at the clock's zero.
+    epoch: u64,
+    standing: BTreeMap<Server, &'static str>,
+    /// Lines and messages ordered since the start.
+    pub lines_sent: u64,
+    pub messages_sent: u64,
+    pub most_waiting: usize,
+}
+
+impl Driver {
+    /// Starts the decisions with the fleet's facts and the list as last held.
+    ///
+    /// `epoch` is the wall clock at `now` zero, milliseconds since 1970.
+    pub fn new(fleet: Fleet, seed: u64, epoch: u64) -> Driver {
+        let mut zones = Ids::default();
+        fleet.zones.iter().for_each(|(name, _)| _ = zones.index(name.clone()));
+        let happened = vec![Event::Start { seed, facts: fleet.facts() }];
+        Driver {
+            planner: Planner::default(),
+            sums: Sums::new(fleet.report, fleet.report_lines),
+            fleet,
+            servers: Ids::default(),
+            proxies: Ids::default(),
+            zones,
+            kinds: Ids::default(),
+            addresses: BTreeMap::new(),
+            tables: Tables::default(),
+            members: BTreeMap::new(),
+            happened,
+            wakes: BinaryHeap::new(),
+            epoch,
+            standing: BTreeMap::new(),
+            lines_sent: 0,
+            messages_sent: 0,
+            most_waiting: 0,
+        }
+    }
+
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    pub fn members(&self) -> &BTreeMap<Proxy, Member> {
+        &self.members
+    }
+
+    pub fn proxy_name(&self, proxy: Proxy) -> &str {
+        self.proxies.outside(proxy).map_or("?", String::as_str)
+    }
+
+    pub fn server_name(&self, server: Server) -> &str {
+        self.servers.outside(server).map_or("?", String::as_str)
+    }
+
+    /// The tables as ordered.
+    pub fn laid(&self) -> &BTreeMap<Table, Laid> {
+        self.tables.laid()
+    }
+
+    /// What the list last said of each server: `ready`, `draining`, `gone`.
+    pub fn listed(&self) -> &BTreeMap<Server, &'static str> {
+        &self.standing
+    }
+
+    /// Lines on their way, heads included, as the channel's limit counts them.
+    pub fn lines_waiting(&self) -> usize {
+        let head = self.fleet.channel.overhead as usize;
+        self.members.values().flat_map(|m| &m.flying).map(|f| f.lines + head).sum()
+    }
+
+    /// The fleet as edited. New facts start the decisions over: proxies keep what they hold until they are
+    /// bound again. Shares and words on servers are no facts, they come by the list.
+    pub fn refit(&mut self, fleet: Fleet, seed: u64) -> bool {
+        let same = fleet.facts() == self.fleet.facts() && self.zones_of(&fleet) == self.zones_of(&self.fleet);
+        self.fleet = fleet;
+        if same {
+            return false;
+        }
+        self.zones = Ids::default();
+        self.fleet.zones.iter().for_each(|(name, _)| _ = self.zones.index(name.clone()));
+        self.sums = Sums::new(self.fleet.report, self.fleet.report_lines);
+        self.tables = Tables::default();
+        self.wakes.clear();
+        self.happened = vec![Event::Start { seed, facts: self.fleet.facts() }];
+        true
+    }
+
+    fn zones_of<'a>(&self, fleet: &'a Fleet) -> Vec<&'a str> {
+        fleet.zones.iter().map(|(name, _)| name.as_str()).collect()
+    }
+
+    /// Tells the decisions of servers: the whole list as held before this start, or changes.
+    pub fn list(&mut self, how: Listing, changes: Vec<(String, Change)>) {
+        let mut entries = Vec::new();
+        for (name, change) in changes {
+            let server = self.servers.index(name);
+            entries.push(match change {
+                Change::Is(is) => {
+                    self.addresses.insert(server, is.address);
+                    self.standing.insert(server, if is.draining { "draining" } else { "ready" });
+                    Entry {
+                        server,
+                        zone: self.zones.index(is.zone),
+                        kind: self.kinds.index(is.kind),
+                        cell: is.cell,
+                        mode: if is.draining { Mode::Draining } else { Mode::Ready },
+                        weight: is.weight,
+                        // Started before this planner's clock began counts as long ago only once it is warm.
+                        started: is.started.and_then(|at| self.since_start(at)),
+                    }
+                }
+                Change::Gone => {
+                    self.standing.insert(server, "gone");
+                    let (mode, weight) = (Mode::Gone, 1.0);
+                    Entry { server, zone: 0, kind: 0, cell: 0, mode, weight, started: None }
+                }
+            });
+        }
+        self.happened.push(Event::Listed { how, entries });
+    }
+
+    /// A wall-clock time on the decisions' clock, which starts an hour back so that times shortly before the
+    /// process's own start can be told.
+    fn since_start(&self, at: u64) -> Option<Duration> {
+        (at + LEAD.as_millis() as u64).checked_sub(self.epoch).map(Duration::from_millis)
+    }
+
+    /// A proxy joined: what it says of itself, and whether it holds nothing but what it started with.
+    pub fn joined(&mut self, name: &str, zone: &str, rate: f64, fresh: bool) -> Proxy {
+        let proxy = self.proxies.index(name.to_string());
+        if self.members.contains_key(&proxy) {
+            self.left(proxy);
+        }
+        self.members.insert(proxy, Member { zone: zone.to_string(), ..Member::default() });
+        self.tables.join(proxy);
+        let rate = if rate.is_finite() { rate.clamp(0.0, 1e6) } else { 0.0 };
+        self.happened.push(Event::Joined { proxy, zone: self.zones.index(zone.to_string()), rate, fresh });
+        proxy
+    }
+
+    pub fn left(&mut self, proxy: Proxy) {
+        if self.members.remove(&proxy).is_some() {
+            self.tables.left(proxy);
+            self.happened.push(Event::Left { proxy });
+        }
+    }
+
+    /// The proxy confirmed the message of this number, and so all before it.
+    pub fn applied(&mut self, now: Duration, proxy: Proxy, number: u64) {
+        let Some(member) = self.members.get_mut(&proxy) else { return };
+        while let Some(flying) = member.flying.front().copied().filter(|f| f.number <= number) {
+            member.flying.pop_front();
+            member.applied_at = Some(now);
+            if let Some(mark) = flying.mark {
+                let after = now.saturating_sub(flying.sent);
+                self.happened.push(Event::Applied { proxy, mark, after });
+            }
+        }
+    }
+
+    /// A report came. What names no known server or class is left out.
+    pub fn report(&mut self, now: Duration, proxy: Proxy, report: &Report) {
+        let Some(member) = self.members.get_mut(&proxy) else { return };
+        member.report_at = Some(now);
+        let zone = self.zones.index(member.zone.clone());
+        for met in &report.met {
+            if let Some(server) = self.servers.known(&met.server) {
+                self.sums.met(now, zone, server, met, report.span);
+            }
+        }
+        for came in &report.came {
+            if let Some(class) = self.fleet.classes.iter().position(|c| c.name == came.class) {
+                self.sums.came(now, proxy, class, came, report.span);
+            }
+        }
+    }
+
+    pub fn probed(&mut self, server: Server, found: Found, after: Duration, load: Vec<f64>) {
+        self.happened.push(Event::Probed { server, found, after, load });
+    }
+
+    /// When [`Driver::turn`] wants to be called though nothing came.
+    pub fn wakes_at(&self) -> Option<Duration> {
+        let wake = self.wakes.peek().map(|w| w.0 .0);
+        [wake, self.sums.due()].into_iter().flatten().min()
+    }
+
+    /// Hands on all that happened, once, and gives what is to be done.
+    pub fn turn(&mut self, now: Duration) -> (Vec<Deed>, Ordered) {
+        while let Some(std::cmp::Reverse((at, token))) = self.wakes.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.wakes.pop();
+            self.happened.push(Event::Woken { token });
+        }
+        self.sums.hand_on(now, &mut self.happened);
+        if self.happened.is_empty() {
+            return (vec![], Ordered::default());
+        }
+        let happened = std::mem::take(&mut self.happened);
+        let orders = self.planner.decide(LEAD + now, &happened);
+        self.carry(now, orders)
+    }
+
+    fn carry(&mut self, now: Duration, orders: Vec<Order>) -> (Vec<Deed>, Ordered) {
+        let (mut deeds, mut ordered, mut mark, mut all) = (vec![], Ordered::default(), None, false);
+        for order in orders {
+            match order {
+                Order::Line { table, server, weight } => {
+                    ordered.servers.insert(self.server_name(server).to_string());
+                    self.tables.line(table, server, weight);
+                }
+                Order::Clear { table } => self.tables.clear(table),
+                Order::Withdraw { server, out } => self.tables.withdraw(server, out),
+                Order::Bind { proxy, table, classes } => {
+                    let count = self.fleet.classes.len();
+                    let bound = (0..count).filter(|c| classes == 0 || classes & (1 << c) != 0);
+                    self.tables.bind(proxy, table, bound);
+                }
+                Order::Level { table, class, level, tries } => self.tables.level(table, class, level, tries),
+                Order::Mark { mark: number, everyone } => (mark, all) = (Some(number), everyone),
+                Order::Probe { server } => {
+                    let address = self.addresses.get(&server).copied();
+                    deeds.extend(address.map(|address| Deed::Probe { server, address }));
+                }
+                Order::Wake { after, token } => self.wakes.push(std::cmp::Reverse((now + after, token))),
+                Order::Log { text } => deeds.push(Deed::Log { text: self.named(&text) }),
+                // The list comes unasked here, and planners have no peers.
+                Order::Subscribe { .. } | Order::Fetch | Order::Tell { .. } => {}
+            }
+        }
+        self.messages(now, mark, all, &mut deeds, &mut ordered);
+        (deeds, ordered)
+    }
+
+    /// One message for each proxy that the orders concern.
+    fn messages(
+        &mut self,
+        now: Duration,
+        mark: Option<u16>,
+        all: bool,
+        deeds: &mut Vec<Deed>,
+        ordered: &mut Ordered,
+    ) {
+        let names = tables::Names {
+            server: &|s| self.servers.outside(s).map_or("?", String::as_str),
+            address: &|s| self.addresses.get(&s).map(SocketAddr::to_string).unwrap_or_default(),
+            class: &|c| self.fleet.classes.get(c).map_or("?", |class| class.name.as_str()),
+        };
+        let members: Vec<Proxy> = self.members.keys().copied().collect();
+        for (proxy, body, lines) in self.tables.take_messages(&members, all && mark.is_some(), &names) {
+            let Some(member) = self.members.get_mut(&proxy) else { continue };
+            member.number += 1;
+            member.ordered_at = Some(now);
+            member.flying.push_back(Flying { number: member.number, mark, lines, sent: now });
+            self.lines_sent += lines as u64;
+            self.messages_sent += 1;
+            ordered.proxies.push((proxy, member.number));
+            deeds.push(Deed::Send { proxy, number: member.number, body, lines });
+        }
+        self.most_waiting = self.most_waiting.max(self.lines_waiting());
+    }
+
+    /// The decisions number servers in the order in which they met them; people know them by name.
+    fn named(&self, text: &str) -> String {
+        let mut words = text.splitn(3, ' ');
+        match (words.next(), words.next().map(str::parse::<usize>), words.next()) {
+            (Some("server"), Some(Ok(server)), Some(rest)) => {
+                format!("server {} {rest}", self.server_name(server))
+            }
+            _ => text.to_string(),
+        }
+    }
+}
+
+/// How far before the process's start the decisions' clock begins: longer than any server takes to warm.
+pub const LEAD: Duration = Duration::from_secs(3600);
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/driver/src/tables.rs
@@ -0,0 +1,207 @@
+//! The tables as ordered, who is on them, and the messages that carry what changed.
+
+use runloom::interface::{Class, FurtherTries, Proxy, Server, Table};
+use runloom_model::order::{Message, TableEdit};
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+type Level = (Option<f64>, FurtherTries);
+
+/// One table as ordered.
+#[derive(Debug, Clone, Default)]
+pub struct Laid {
+    pub lines: BTreeMap<Server, f64>,
+    pub levels: BTreeMap<Class, Level>,
+}
+
+/// What changed of a table since the last messages.
+#[derive(Debug, Default)]
+struct Delta {
+    cleared: bool,
+    lines: BTreeMap<Server, f64>,
+    levels: BTreeMap<Class, Level>,
+}
+
+#[derive(Debug, Default)]
+struct Bound {
+    by_class: BTreeMap<Class, Table>,
+    /// Bound since the last message: classes, and tables that go out whole.
+    fresh: BTreeSet<Class>,
+    laid: BTreeSet<Table>,
+    /// Tables of this planner that the proxy holds.
+    held: BTreeSet<Table>,
+    /// No message since it joined: the first takes the place of all that it holds.
+    first: bool,
+}
+
+/// How indices are called outside.
+pub struct Names<'a> {
+    pub server: &'a dyn Fn(Server) -> &'a str,
+    pub address: &'a dyn Fn(Server) -> String,
+    pub class: &'a dyn Fn(Class) -> &'a str,
+}
+
+#[derive(Debug, Default)]
+pub struct Tables {
+    laid: BTreeMap<Table, Laid>,
+    deltas: BTreeMap<Table, Delta>,
+    bound: BTreeMap<Proxy, Bound>,
+    withdrawn: BTreeSet<Server>,
+    newly: BTreeMap<Server, bool>,
+}
+
+/// Stands for every table at once, as the orders have it.
+const EVERY: Table = Table::MAX;
+
+impl Tables {
+    pub fn laid(&self) -> &BTreeMap<Table, Laid> {
+        &self.laid
+    }
+
+    pub fn join(&mut self, proxy: Proxy) {
+        self.bound.insert(proxy, Bound { first: true, ..Bound::default() });
+    }
+
+    pub fn left(&mut self, proxy: Proxy) {
+        self.bound.remove(&proxy);
+    }
+
+    pub fn line(&mut self, table: Table, server: Server, weight: f64) {
+        let laid = self.laid.entry(table).or_default();
+        if weight > 0.0 {
+            laid.lines.insert(server, weight);
+        } else {
+            laid.lines.remove(&server);
+        }
+        self.deltas.entry(table).or_default().lines.insert(server, weight);
+    }
+
+    pub fn clear(&mut self, table: Table) {
+        self.laid.insert(table, Laid::default());
+        self.deltas.insert(table, Delta { cleared: true, ..Delta::default() });
+    }
+
+    pub fn level(&mut self, table: Table, class: Class, level: Option<f64>, tries: FurtherTries) {
+        let tables: Vec<Table> =
+            if table == EVERY { self.laid.keys().copied().collect() } else { vec![table] };
+        for table in tables {
+            self.laid.entry(table).or_default().levels.insert(class, (level, tries));
+            self.deltas.entry(table).or_default().levels.insert(class, (level, tries));
+        }
+    }
+
+    pub fn withdraw(&mut self, server: Server, out: bool) {
+        if out {
+            self.withdrawn.insert(server);
+        } else {
+            self.withdrawn.remove(&server);
+        }
+        self.newly.insert(server, out);
+    }
+
+    pub fn bind(&mut self, proxy: Proxy, table: Table, classes: impl Iterator<Item = Class>) {
+        let Some(bound) = self.bound.get_mut(&proxy) else { return };
+        for class in classes {
+            bound.by_class.insert(class, table);
+            bound.fresh.insert(class);
+        }
+        bound.laid.insert(table);
+    }
+
+    /// The messages since the last time: proxy, text, lines. With `all`, also one without lines to those
+    /// whom nothing concerns.
+    pub fn take_messages(
+        &mut self,
+        members: &[Proxy],
+        all: bool,
+        names: &Names,
+    ) -> Vec<(Proxy, Rc<str>, usize)> {
+        let mut shared: BTreeMap<Vec<Table>, Option<(Rc<str>, usize)>> = BTreeMap::new();
+        let mut messages = Vec::new();
+        for proxy in members {
+            let Some(bound) = self.bound.get(proxy) else { continue };
+            let on: BTreeSet<Table> = bound.by_class.values().copied().collect();
+            if !bound.fresh.is_empty() {
+                let message = self.bind_message(bound, &on, names);
+                messages.push((*proxy, Rc::from(message.to_text()), message.lines()));
+                continue;
+            }
+            let changed: Vec<Table> = on.iter().copied().filter(|t| self.deltas.contains_key(t)).collect();
+            // Only those bound by this planner follow its withdrawals by message; others by their first.
+            let withdrawals = !self.newly.is_empty() && !on.is_empty();
+            if changed.is_empty() && !withdrawals && !all {
+                continue;
+            }
+            // Proxies on the same changed tables get the same text, made once.
+            let made = shared.entry(changed).or_insert_with_key(|changed| {
+                let message = self.delta_message(changed, withdrawals, names);
+                (!message.is_empty() || all).then(|| (Rc::from(message.to_text()), message.lines()))
+            });
+            messages.extend(made.clone().map(|(text, lines)| (*proxy, text, lines)));
+        }
+        for bound in self.bound.values_mut().filter(|b| !b.fresh.is_empty()) {
+            (bound.first, bound.fresh, bound.laid) = (false, BTreeSet::new(), BTreeSet::new());
+            bound.held = bound.by_class.values().copied().collect();
+        }
+        self.deltas.clear();
+        self.newly.clear();
+        messages
+    }
+
+    fn delta_message(&self, changed: &[Table], withdrawals: bool, names: &Names) -> Message {
+        let mut message = Message::default();
+        for table in changed {
+            message.tables.insert(*table, self.delta(&self.deltas[table], names));
+        }
+        if withdrawals {
+            let named = self.newly.iter().map(|(s, out)| ((names.server)(*s).to_string(), *out));
+            message.withdrawn = named.collect();
+        }
+        message
+    }
+
+    fn delta(&self, delta: &Delta, names: &Names) -> TableEdit {
+        edit(delta.cleared, delta.lines.iter(), delta.levels.iter(), names)
+    }
+
+    fn bind_message(&self, bound: &Bound, on: &BTreeSet<Table>, names: &Names) -> Message {
+        let mut message = Message { whole: bound.first, ..Message::default() };
+        for (class, table) in &bound.by_class {
+            if bound.first || bound.fresh.contains(class) {
+                message.binds.insert((names.class)(*class).to_string(), *table);
+            }
+        }
+        let empty = Laid::default();
+        for table in on {
+            if bound.first || bound.laid.contains(table) {
+                let laid = self.laid.get(table).unwrap_or(&empty);
+                message.tables.insert(*table, edit(true, laid.lines.iter(), laid.levels.iter(), names));
+            } else if let Some(delta) = self.deltas.get(table) {
+                message.tables.insert(*table, self.delta(delta, names));
+            }
+        }
+        for table in bound.held.difference(on) {
+            message.tables.insert(*table, TableEdit { gone: true, ..TableEdit::default() });
+        }
+        let out: Vec<(Server, bool)> = if bound.first {
+            self.withdrawn.iter().map(|s| (*s, true)).collect()
+        } else {
+            self.newly.iter().map(|(s, out)| (*s, *out)).collect()
+        };
+        message.withdrawn = out.into_iter().map(|(s, out)| ((names.server)(s).to_string(), out)).collect();
+        message
+    }
+}
+
+fn edit<'a>(
+    whole: bool,
+    lines: impl Iterator<Item = (&'a Server, &'a f64)>,
+    levels: impl Iterator<Item = (&'a Class, &'a Level)>,
+    names: &Names,
+) -> TableEdit {
+    // In a table that goes out whole, a line of weight 0 is one that is not there.
+    let kept = lines.filter(|(_, weight)| !whole || **weight > 0.0);
+    let line = |(s, w): (&Server, &f64)| ((names.server)(*s).to_string(), ((names.address)(*s), *w));
+    let level = |(c, l): (&Class, &Level)| ((names.class)(*c).to_string(), *l);
+    TableEdit { whole, lines: kept.map(line).collect(), levels: levels.map(level).collect(), gone: false }
+}
--- /dev/null
+++ b/model/src/fleet.rs
@@ -0,0 +1,357 @@
+//! A planner's settings, typed: the fleet that operators edit and the roster that the feed edits.
+
+use crate::FLEET;
+use runloom::interface::{Fact, Facts};
+use runloom_netconf::tree::Element;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What the schema does not say: a name that stands for nothing, a limit below another.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Misfit {
+    pub path: String,
+    pub reason: String,
+}
+
+/// Whether a class may run again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeats {
+    Safe,
+    Keyed,
+    Never,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    pub name: String,
+    pub payoff: f64,
+    pub soft_limit: Duration,
+    pub outer_limit: Duration,
+    pub repeats: Repeats,
+}
+
+/// An operator's word on a server.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Word {
+    pub weight: Option<f64>,
+    pub drain: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Grace {
+    /// Within it proxies stop sending to a server that drains.
+    pub drain: Duration,
+    /// No proxy is without a line for longer.
+    pub bare: Duration,
+    /// A proxy that has not confirmed a message for so long is let go.
+    pub reply: Duration,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Channel {
+    pub pace: f64,
+    pub backlog: f64,
+    pub overhead: f64,
+    pub messages: f64,
+    pub messages_over: Duration,
+}
+
+/// The fleet as operators have it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fleet {
+    pub zones: Vec<(String, f64)>,
+    pub classes: Vec<Class>,
+    pub words: BTreeMap<String, Word>,
+    pub grace: Grace,
+    pub channel: Channel,
+    pub cold_from: f64,
+    pub warm_after: Duration,
+    pub proxies: f64,
+    pub planners: f64,
+    pub pick: String,
+    pub levels: String,
+    pub home_first: bool,
+    pub probes: bool,
+    pub report: Duration,
+    pub report_lines: f64,
+    pub only_drains_bind: bool,
+    pub load: Vec<String>,
+}
+
+/// A server as the feed tells of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    pub address: SocketAddr,
+    pub zone: String,
+    pub kind: String,
+    pub cell: u64,
+    pub draining: bool,
+    pub weight: f64,
+    /// Milliseconds since 1970.
+    pub started: Option<u64>,
+}
+
+/// Reads leaves and notes what does not fit.
+struct Reader<'a> {
+    at: &'a Element,
+    path: &'a str,
+}
+
+impl Reader<'_> {
+    fn text(&self, name: &str) -> &str {
+        self.at.text_of(name).unwrap_or_default()
+    }
+
+    fn number(&self, name: &str) -> Result<f64, Misfit> {
+        self.maybe(name)?.ok_or_else(|| self.misfit(name, "is missing"))
+    }
+
+    fn maybe(&self, name: &str) -> Result<Option<f64>, Misfit> {
+        let Some(text) = self.at.text_of(name) else { return Ok(None) };
+        let value: f64 = text.parse().map_err(|_| self.misfit(name, "is no number"))?;
+        if value.is_finite() {
+            Ok(Some(value))
+        } else {
+            Err(self.misfit(name, "is no number"))
+        }
+    }
+
+    fn span(&self, name: &str) -> Result<Duration, Misfit> {
+        Ok(Duration::from_millis(self.number(name)?.max(0.0) as u64))
+    }
+
+    fn flag(&self, name: &str) -> bool {
+        matches!(self.text(name), "true" | "1")
+    }
+
+    fn misfit(&self, name: &str, reason: &str) -> Misfit {
+        Misfit { path: format!("{}/{name}", self.path), reason: reason.to_string() }
+    }
+}
+
+fn under<'a>(root: &'a Element, name: &'a str) -> Result<&'a Element, Misfit> {
+    root.child(name)
+        .ok_or_else(|| Misfit { path: format!("/{}/{name}", root.name), reason: "is missing".into() })
+}
+
+fn classes(parent: &Element) -> Result<Vec<Class>, Misfit> {
+    let class = |e: &Arc<Element>| {
+        let r = Reader {
+            at: e,
+            path: &format!("/{}/class[name='{}']", parent.name, e.text_of("name").unwrap_or("")),
+        };
+        let class = Class {
+            name: r.text("name").to_string(),
+            payoff: r.number("payoff")?,
+            soft_limit: r.span("soft-limit-ms")?,
+            outer_limit: r.span("outer-limit-ms")?,
+            repeats: match r.text("repeats") {
+                "safe" => Repeats::Safe,
+                "keyed" => Repeats::Keyed,
+                _ => Repeats::Never,
+            },
+        };
+        if class.soft_limit.is_zero() || class.outer_limit < class.soft_limit {
+            return Err(r.misfit("outer-limit-ms", "is under the soft limit, or there is no soft limit"));
+        }
+        Ok(class)
+    };
+    parent.named("class").map(class).collect()
+}
+
+impl Fleet {
+    /// Reads `<fleet>`, which the schema has found valid.
+    pub fn read(fleet: &Element) -> Result<Fleet, Misfit> {
+        let zone = |e: &Arc<Element>| {
+            let r = Reader { at: e, path: "/fleet/zone" };
+            Ok((r.text("name").to_string(), r.maybe("share")?.unwrap_or(1.0)))
+        };
+        let word = |e: &Arc<Element>| {
+            let r = Reader { at: e, path: "/fleet/server" };
+            Ok((r.text("name").to_string(), Word { weight: r.maybe("weight")?, drain: r.flag("drain") }))
+        };
+        let part = |name| under(fleet, name);
+        let grace = Reader { at: part("grace")?, path: "/fleet/grace" };
+        let channel = Reader { at: part("channel")?, path: "/fleet/channel" };
+        let cold = Reader { at: part("cold")?, path: "/fleet/cold" };
+        let proxies = Reader { at: part("proxies")?, path: "/fleet/proxies" };
+        let list = Reader { at: part("list")?, path: "/fleet/list" };
+        Ok(Fleet {
+            zones: fleet.named("zone").map(zone).collect::<Result<_, Misfit>>()?,
+            classes: classes(fleet)?,
+            words: fleet.named("server").map(word).collect::<Result<_, Misfit>>()?,
+            grace: Grace {
+                drain: grace.span("drain-ms")?,
+                bare: grace.span("bare-ms")?,
+                reply: grace.span("reply-ms")?,
+            },
+            channel: Channel {
+                pace: channel.number("lines-per-second")?,
+                backlog: channel.number("backlog")?,
+                overhead: channel.number("overhead")?,
+                messages: channel.maybe("messages")?.unwrap_or(0.0),
+                messages_over: channel.span("messages-over-ms").unwrap_or(Duration::from_secs(10)),
+            },
+            cold_from: cold.number("from")?,
+            warm_after: cold.span("warm-after-ms")?,
+            proxies: proxies.number("count")?,
+            planners: proxies.number("planners")?.max(1.0),
+            pick: proxies.text("pick").to_string(),
+            levels: proxies.text("levels").to_string(),
+            home_first: proxies.flag("home-first"),
+            probes: proxies.flag("probes"),
+            report: proxies.span("report-ms")?,
+            report_lines: proxies.number("report-lines-per-second")?,
+            only_drains_bind: list.flag("only-drains-bind"),
+            load: list.at.named("load").map(|e| e.text.clone()).collect(),
+        })
+    }
+
+    /// The facts that the decisions read at start (`docs/design.md`).
+    pub fn facts(&self) -> Facts {
+        let mut map = BTreeMap::new();
+        let mut number = |name: &str, value: f64| _ = map.insert(name.to_string(), Fact::Number(value));
+        number("planners", self.planners);
+        number("proxies", self.proxies);
+        number("zones", self.zones.len() as f64);
+        number("classes", self.classes.len() as f64);
+        for (k, class) in self.classes.iter().enumerate() {
+            number(&format!("class.{k}.soft_limit"), class.soft_limit.as_secs_f64());
+            number(&format!("class.{k}.outer_limit"), class.outer_limit.as_secs_f64());
+            number(&format!("class.{k}.payoff"), class.payoff);
+        }
+        number("cold.from", self.cold_from);
+        number("cold.warm_after", self.warm_after.as_secs_f64());
+        number("channel.pace", self.channel.pace);
+        number("channel.backlog", self.channel.backlog);
+        number("channel.overhead", self.channel.overhead);
+        number("channel.messages", self.channel.messages);
+        number("channel.messages_over", self.channel.messages_over.as_secs_f64());
+        number("drain.grace", self.grace.drain.as_secs_f64());
+        number("bare_most", self.grace.bare.as_secs_f64());
+        number("reports.period", self.report.as_secs_f64());
+        number("reports.pace", self.report_lines);
+        let mut put = |name: &str, fact: Fact| _ = map.insert(name.to_string(), fact);
+        put("levels.kind", Fact::Text(self.levels.clone()));
+        put("pick", Fact::Text(self.pick.clone()));
+        put("probes.allowed", Fact::Flag(self.probes));
+        put("home_first", Fact::Flag(self.home_first));
+        put("drain.marked_only", Fact::Flag(self.only_drains_bind));
+        for (k, name) in self.load.iter().enumerate() {
+            put(&format!("load.{k}"), Fact::Text(name.clone()));
+        }
+        Facts(map)
+    }
+
+    pub fn share_of(&self, zone: &str) -> f64 {
+        self.zones.iter().find(|(name, _)| name == zone).map_or(1.0, |(_, share)| *share)
+    }
+}
+
+impl Listed {
+    /// Reads one `<server>` of the roster.
+    pub fn read(e: &Element) -> Result<(String, Listed), Misfit> {
+        let name = e.text_of("name").unwrap_or_default().to_string();
+        let path = format!("/roster/server[name='{name}']");
+        let r = Reader { at: e, path: &path };
+        let listed = Listed {
+            address: r.text("address").parse().map_err(|_| r.misfit("address", "is no address"))?,
+            zone: r.text("zone").to_string(),
+            kind: r.text("kind").to_string(),
+            cell: r.maybe("cell")?.unwrap_or(0.0) as u64,
+            draining: r.text("mode") == "draining",
+            weight: r.maybe("weight")?.unwrap_or(1.0),
+            started: e.text_of("started").and_then(|s| s.parse().ok()),
+        };
+        Ok((name, listed))
+    }
+
+    pub fn element(&self, name: &str) -> Element {
+        let mut e = Element::new(FLEET, "server")
+            .with_leaf("name", name)
+            .with_leaf("address", self.address)
+            .with_leaf("zone", &self.zone);
+        if !self.kind.is_empty() {
+            e = e.with_leaf("kind", &self.kind);
+        }
+        e = e
+            .with_leaf("cell", self.cell)
+            .with_leaf("mode", if self.draining { "draining" } else { "ready" });
+        e = e.with_leaf("weight", self.weight);
+        if let Some(started) = self.started {
+            e = e.with_leaf("started", started);
+        }
+        e
+    }
+}
+
+/// Names in one part that must stand in another; what a schema of this kind cannot say.
+pub fn misfit(fleet: &Fleet, roster: &BTreeMap<String, Listed>) -> Option<Misfit> {
+    let known = |zone: &str| fleet.zones.iter().any(|(name, _)| name == zone);
+    roster.iter().find(|(_, l)| !known(&l.zone)).map(|(name, l)| Misfit {
+        path: format!("/roster/server[name='{name}']/zone"),
+        reason: format!("there is no zone {}", l.zone),
+    })
+}
+
+/// Files of certificates.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Papers {
+    pub certificate: PathBuf,
+    pub key: PathBuf,
+    pub trust: PathBuf,
+}
+
+impl Papers {
+    pub fn read(parent: &Element) -> Papers {
+        let of = |name| PathBuf::from(parent.child("tls").and_then(|t| t.text_of(name)).unwrap_or_default());
+        Papers { certificate: of("certificate"), key: of("key"), trust: of("trust") }
+    }
+}
+
+/// A planner's own place, by its settings file.
+#[derive(Debug, Clone)]
+pub struct Place {
+    pub name: String,
+    pub edits: SocketAddr,
+    pub home: SocketAddr,
+    pub metrics: Option<SocketAddr>,
+    pub folder: PathBuf,
+    pub papers: Papers,
+    /// `<fleet>` and `<roster>` as they are at the first start.
+    pub data: Arc<Element>,
+}
+
+impl Place {
+    /// Reads `<planner>`, which the schema has found valid.
+    pub fn read(planner: &Element) -> Result<Place, Misfit> {
+        let r = Reader { at: planner, path: "/planner" };
+        let address = |name: &str| r.text(name).parse().map_err(|_| r.misfit(name, "is no address"));
+        let fleet = under(planner, "fleet")?;
+        let typed = Fleet::read(fleet)?;
+        let empty = Element::new(FLEET, "roster");
+        let roster = planner.child("roster").unwrap_or(&empty);
+        let listed =
+            roster.named("server").map(|e| Listed::read(e)).collect::<Result<BTreeMap<_, _>, _>>()?;
+        if let Some(misfit) = misfit(&typed, &listed) {
+            return Err(misfit);
+        }
+        Ok(Place {
+            name: r.text("name").to_string(),
+            edits: address("edits")?,
+            home: address("home")?,
+            metrics: planner.child("metrics").map(|_| address("metrics")).transpose()?,
+            folder: PathBuf::from(r.text("folder")),
+            papers: Papers::read(planner),
+            data: Arc::new(Element::new("", "data").with(fleet.clone()).with(roster.clone())),
+        })
+    }
+}
+
+/// The classes of a forwarder's settings.
+pub fn classes_of(forwarder: &Element) -> Result<Vec<Class>, Misfit> {
+    classes(forwarder)
+}
--- /dev/null
+++ b/model/src/order.rs
@@ -0,0 +1,214 @@
+//! What passes between a planner and a proxy: orders as one `<edit-config>`, reports as notifications.
+
+use crate::PROXY;
+use runloom::interface::FurtherTries;
+use runloom_netconf::tree::{escape, Element};
+use runloom_netconf::BASE;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// A level as it is ordered: queries a second (`None`: all), and further tries.
+pub type Level = (Option<f64>, FurtherTries);
+
+/// Changes of one table at one proxy.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct TableEdit {
+    /// All that the table holds, in place of what it held.
+    pub whole: bool,
+    /// Server and address, and the weight; 0 removes the line.
+    pub lines: BTreeMap<String, (String, f64)>,
+    pub levels: BTreeMap<String, Level>,
+    /// The table is not used any more.
+    pub gone: bool,
+}
+
+/// One message to one proxy.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Message {
+    /// In place of all that the proxy holds, whoever wrote it.
+    pub whole: bool,
+    pub tables: BTreeMap<u16, TableEdit>,
+    /// Class and table.
+    pub binds: BTreeMap<String, u16>,
+    /// Server, and whether it is out.
+    pub withdrawn: BTreeMap<String, bool>,
+}
+
+fn word(tries: FurtherTries) -> &'static str {
+    match tries {
+        FurtherTries::None => "none",
+        FurtherTries::Unrun => "unrun",
+        FurtherTries::One => "one",
+        FurtherTries::Two => "two",
+    }
+}
+
+/// The way of trying again that a word stands for.
+pub fn tries(word: &str) -> FurtherTries {
+    match word {
+        "unrun" => FurtherTries::Unrun,
+        "one" => FurtherTries::One,
+        "two" => FurtherTries::Two,
+        _ => FurtherTries::None,
+    }
+}
+
+fn leaf(out: &mut String, name: &str, text: &str) {
+    out.push('<');
+    out.push_str(name);
+    out.push('>');
+    escape(text, out);
+    out.push_str("</");
+    out.push_str(name);
+    out.push('>');
+}
+
+impl Message {
+    pub fn is_empty(&self) -> bool {
+        !self.whole && self.tables.is_empty() && self.binds.is_empty() && self.withdrawn.is_empty()
+    }
+
+    /// Lines, as the channel counts them: each line, level, bind and withdrawal.
+    pub fn lines(&self) -> usize {
+        let table = |t: &TableEdit| t.lines.len() + t.levels.len();
+        self.tables.values().map(table).sum::<usize>() + self.binds.len() + self.withdrawn.len()
+    }
+
+    /// The `<edit-config>` that carries it.
+    pub fn to_text(&self) -> String {
+        let mut out = String::with_capacity(256 + 120 * self.lines());
+        out.push_str("<edit-config><target><running/></target><config>");
+        // Writing to a string cannot fail.
+        let _ = write!(out, "<tables xmlns=\"{PROXY}\" xmlns:nc=\"{BASE}\"");
+        out.push_str(if self.whole { " nc:operation=\"replace\">" } else { ">" });
+        for (id, table) in &self.tables {
+            out.push_str(match table {
+                TableEdit { gone: true, .. } => "<table nc:operation=\"remove\">",
+                TableEdit { whole: true, .. } if !self.whole => "<table nc:operation=\"replace\">",
+                _ => "<table>",
+            });
+            leaf(&mut out, "id", &id.to_string());
+            table.lines.iter().for_each(|(server, line)| write_line(&mut out, server, line));
+            table.levels.iter().for_each(|(class, level)| write_level(&mut out, class, level));
+            out.push_str("</table>");
+        }
+        for (class, table) in &self.binds {
+            out.push_str("<bind>");
+            leaf(&mut out, "class", class);
+            leaf(&mut out, "table", &table.to_string());
+            out.push_str("</bind>");
+        }
+        for (server, is_out) in &self.withdrawn {
+            out.push_str(if *is_out { "<withdrawn>" } else { "<withdrawn nc:operation=\"remove\">" });
+            leaf(&mut out, "server", server);
+            out.push_str("</withdrawn>");
+        }
+        out.push_str("</tables></config></edit-config>");
+        out
+    }
+}
+
+fn write_line(out: &mut String, server: &str, (address, weight): &(String, f64)) {
+    if *weight <= 0.0 {
+        out.push_str("<line nc:operation=\"remove\">");
+        leaf(out, "server", server);
+        out.push_str("</line>");
+        return;
+    }
+    out.push_str("<line>");
+    leaf(out, "server", server);
+    leaf(out, "address", address);
+    leaf(out, "weight", &weight.to_string());
+    out.push_str("</line>");
+}
+
+fn write_level(out: &mut String, class: &str, (pace, tries): &Level) {
+    // In place of the level before: one without a pace lets all in again.
+    out.push_str("<level nc:operation=\"replace\">");
+    leaf(out, "class", class);
+    if let Some(pace) = pace {
+        leaf(out, "pace", &pace.to_string());
+    }
+    leaf(out, "further-tries", word(*tries));
+    out.push_str("</level>");
+}
+
+/// What a proxy met at one server over a span.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Met {
+    pub server: String,
+    pub tries: u64,
+    pub failed: u64,
+    /// Mean time of the good ones.
+    pub took: Duration,
+    /// The newest load report; NaN where a value is missing.
+    pub load: Vec<f64>,
+}
+
+/// What came to a proxy over a span, of one class.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Came {
+    pub class: String,
+    pub queries: u64,
+    pub unanswered: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Report {
+    pub span: Duration,
+    pub met: Vec<Met>,
+    pub came: Vec<Came>,
+}
+
+impl Report {
+    pub fn element(&self) -> Element {
+        let mut report = Element::new(PROXY, "report").with_leaf("span-ms", self.span.as_millis());
+        for met in &self.met {
+            let mut e = Element::new(PROXY, "met")
+                .with_leaf("server", &met.server)
+                .with_leaf("tries", met.tries)
+                .with_leaf("failed", met.failed)
+                .with_leaf("took-us", met.took.as_micros());
+            for value in &met.load {
+                e = if value.is_finite() { e.with_leaf("load", value) } else { e.with_leaf("load", "-") };
+            }
+            report = report.with(e);
+        }
+        for came in &self.came {
+            report = report.with(
+                Element::new(PROXY, "came")
+                    .with_leaf("class", &came.class)
+                    .with_leaf("queries", came.queries)
+                    .with_leaf("unanswered", came.unanswered),
+            );
+        }
+        report
+    }
+
+    /// Reads a report; `None` if it is none. Entries that make no sense are left out.
+    pub fn read(e: &Element) -> Option<Report> {
+        if !e.is(PROXY, "report") {
+            return None;
+        }
+        fn number(e: &Element, name: &str) -> Option<u64> {
+            e.text_of(name)?.parse().ok()
+        }
+        let met = e.named("met").filter_map(|m| {
+            let load = m.named("load").map(|l| l.text.parse().unwrap_or(f64::NAN));
+            Some(Met {
+                server: m.text_of("server")?.to_string(),
+                tries: number(m, "tries")?,
+                failed: number(m, "failed")?,
+                took: Duration::from_micros(number(m, "took-us")?),
+                load: load.collect(),
+            })
+        });
+        let came = e.named("came").filter_map(|c| {
+            let (queries, unanswered) = (number(c, "queries")?, number(c, "unanswered")?);
+            Some(Came { class: c.text_of("class")?.to_string(), queries, unanswered })
+        });
+        let span = Duration::from_millis(number(e, "span-ms")?.clamp(1, 600_000));
+        Some(Report { span, met: met.collect(), came: came.collect() })
+    }
+}
--- /dev/null
+++ b/model/src/tests.rs
@@ -0,0 +1,88 @@
+use crate::order::{Message, Report, TableEdit};
+use crate::schema::{derive, Judge};
+use crate::*;
+use runloom_netconf::edit::Kind;
+use runloom_netconf::tree::Element;
+use std::time::Duration;
+
+fn names(schema: &Schema, found: &mut Vec<String>) {
+    found.push(schema.name.clone());
+    schema.children.iter().for_each(|c| names(c, found));
+}
+
+#[test]
+fn every_node_and_key_of_the_xsd_stands_in_the_yang_module() {
+    for (xsd, tops, yang) in
+        [(FLEET_XSD, &["fleet", "roster"][..], YANG[0].2), (PROXY_XSD, &["tables"], YANG[1].2)]
+    {
+        let mut found = Vec::new();
+        for top in derive(xsd, tops).unwrap() {
+            names(&top, &mut found);
+        }
+        assert!(found.len() > 10);
+        let words = ["container", "list", "leaf", "leaf-list"];
+        let stands = |name: &String| words.iter().any(|w| yang.contains(&format!("{w} {name} {{")));
+        assert_eq!(found.iter().filter(|n| !stands(n)).collect::<Vec<_>>(), Vec::<&String>::new());
+    }
+}
+
+#[test]
+fn keys_and_leaf_lists_are_derived() {
+    let fleet = &derive(FLEET_XSD, &["fleet"]).unwrap()[0];
+    assert_eq!(fleet.child(FLEET, "zone").unwrap().kind, Kind::List(vec!["name".into()]));
+    let load = fleet.child(FLEET, "list").unwrap().child(FLEET, "load").unwrap();
+    assert_eq!(load.kind, Kind::LeafList);
+}
+
+#[test]
+fn a_fault_names_line_element_and_reason() {
+    let judge = Judge::new(FLEET_XSD).unwrap();
+    let text =
+        "<roster xmlns='urn:runloom:fleet'>\n <server>\n  <name>s1</name>\n  <address>nowhere</address>\n\
+        <zone>a</zone><mode>ready</mode></server></roster>";
+    let faults = judge.faults(text);
+    assert_eq!((faults[0].line, faults[0].element.as_str()), (4, "address"), "{faults:?}");
+    let twice =
+        "<server><name>s1</name><address>1.1.1.1:1</address><zone>a</zone><mode>ready</mode></server>";
+    let faults = judge.faults(&format!("<roster xmlns='urn:runloom:fleet'>{twice}{twice}</roster>"));
+    assert!(!faults.is_empty(), "a key that stands twice");
+}
+
+#[test]
+fn what_is_written_as_a_message_is_valid_by_the_schema() {
+    let table = TableEdit {
+        lines: [("s1".to_string(), ("127.0.0.1:1".to_string(), 0.25))].into(),
+        levels: [("q".to_string(), (Some(3.5), runloom::interface::FurtherTries::Unrun))].into(),
+        ..TableEdit::default()
+    };
+    let binds = [("q".to_string(), 1)].into();
+    let message = Message { tables: [(1, table)].into(), binds, ..Message::default() };
+    let edit = Element::parse(&message.to_text()).unwrap();
+    let tables = edit.child("config").unwrap().child("tables").unwrap();
+    let schema = Schema::root(derive(PROXY_XSD, &["tables"]).unwrap());
+    let config = Element::new("", "config").with(tables.clone());
+    let empty = std::sync::Arc::new(Element::new("", "data"));
+    let (data, faults) = runloom_netconf::edit::apply(
+        &schema,
+        &empty,
+        &config,
+        runloom_netconf::edit::Operation::Merge,
+        false,
+    );
+    assert_eq!(faults, []);
+    assert_eq!(Judge::new(PROXY_XSD).unwrap().faults(&data.children[0].to_text()), []);
+}
+
+#[test]
+fn a_report_is_read_as_it_was_written() {
+    let met = order::Met {
+        server: "s1".into(),
+        tries: 5,
+        failed: 1,
+        took: Duration::from_micros(70),
+        load: vec![2.0],
+    };
+    let came = order::Came { class: "q".into(), queries: 9, unanswered: 2 };
+    let report = Report { span: Duration::from_millis(500), met: vec![met], came: vec![came] };
+    assert_eq!(Report::read(&report.element()), Some(report));
+}
