--- /dev/null
+++ b/turn/src/lib.rs
@@ -0,0 +1,412 @@
+//! One loop: a turn waits, reads a bounded share of what is ready, and gives what happened to a shell, which
+//! feeds its cores and writes what they order. Plain and TLS connections look the same. A peer that does not
+//! read fills its own bounded buffer and then loses its connection, never the loop's time.
+
+mod line;
+#[cfg(test)]
+mod tests;
+
+use hdrhistogram::Histogram;
+use line::Line;
+pub use line::Security;
+use polling::{Event, Events, PollMode, Poller};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::collections::BTreeMap;
+use std::io::{self, Read};
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::{AsFd, BorrowedFd};
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A connection's number; never used again.
+pub type Conn = usize;
+
+/// Bounds of a connection, and of all that a listener takes.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Bytes that may wait to be written; more ends the connection. Four of the largest messages.
+    pub unread: usize,
+    /// Bytes read in one turn: enough for any ordinary message, little against a turn's length.
+    pub share: usize,
+    /// A connection on which nothing is read for so long is closed; `None`: never.
+    pub idle: Option<Duration>,
+    /// Connecting and the TLS handshake take at most so long: three round trips over a bad way.
+    pub handshake: Duration,
+    /// Connections of one listener at a time.
+    pub connections: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        let handshake = Duration::from_secs(5);
+        Bounds { unread: 8 << 20, share: 64 << 10, idle: None, handshake, connections: 2048 }
+    }
+}
+
+/// Why a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Why {
+    /// The other side closed it in order.
+    Ended,
+    /// It broke.
+    Broken,
+    /// It could not be made.
+    Refused,
+    /// TLS failed: no certificate, a wrong one, or no TLS at all.
+    Untrusted,
+    /// Connecting or the handshake took too long.
+    Slow,
+    /// Nothing was read for too long.
+    Idle,
+    /// Too much waits to be written.
+    Unread,
+    /// It was finished here, and all is written.
+    Finished,
+}
+
+/// What happened in a turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Happened {
+    /// A connection stands: accepted by a listener, or dialled; with the peer's certificate, if it gave one.
+    Open {
+        conn: Conn,
+        listener: Option<Conn>,
+        certificate: Option<Vec<u8>>,
+    },
+    Bytes {
+        conn: Conn,
+        bytes: Vec<u8>,
+    },
+    Closed {
+        conn: Conn,
+        why: Why,
+    },
+    Signal(i32),
+}
+
+struct Listener {
+    socket: TcpListener,
+    security: Security,
+    bounds: Bounds,
+    count: usize,
+    /// Whether a turn may accept: a loop that stops takes nobody new.
+    open: bool,
+}
+
+/// Connections taken from one listener in a turn: a storm of hundreds must not starve the rest.
+const ACCEPTED_MOST: usize = 64;
+/// How long a finished connection waits for the other side to close too.
+const LINGER: Duration = Duration::from_secs(1);
+/// How often times are looked at when nothing else happens; idle and handshake bounds are this coarse.
+const SWEEP: Duration = Duration::from_millis(250);
+
+pub struct Turn {
+    poller: Arc<Poller>,
+    events: Events,
+    lines: BTreeMap<Conn, Line>,
+    listeners: BTreeMap<Conn, Listener>,
+    signals: BTreeMap<Conn, (UnixStream, i32)>,
+    next: Conn,
+    start: Instant,
+    swept: Duration,
+    /// Ended outside of reading: told with the next turn.
+    told: Vec<Happened>,
+    busy_since: Option<Instant>,
+    /// Lengths of turns, microseconds, from what was read to the next wait.
+    pub lengths: Histogram<u64>,
+    /// Connections turned away since a listener had as many as it may.
+    pub turned_away: u64,
+}
+
+/// Wakes a loop from another thread.
+#[derive(Clone)]
+pub struct Waker(Arc<Poller>);
+
+impl Waker {
+    pub fn wake(&self) {
+        // A failed wake-up is one turn later: the loop looks at its times anyway.
+        let _ = self.0.notify();
+    }
+}
+
+fn no_histogram(e: hdrhistogram::CreationError) -> io::Error {
+    io::Error::other(e.to_string())
+}
+
+impl Turn {
+    pub fn new() -> io::Result<Turn> {
+        Ok(Turn {
+            poller: Arc::new(Poller::new()?),
+            events: Events::new(),
+            lines: BTreeMap::new(),
+            listeners: BTreeMap::new(),
+            signals: BTreeMap::new(),
+            next: 0,
+            start: Instant::now(),
+            swept: Duration::ZERO,
+            told: Vec::new(),
+            busy_since: None,
+            // Up to a minute, two digits: a turn that long is a defect all the same.
+            lengths: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(no_histogram)?,
+            turned_away: 0,
+        })
+    }
+
+    /// The span since the loop was made.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    pub fn waker(&self) -> Waker {
+        Waker(self.poller.clone())
+    }
+
+    fn number(&mut self) -> Conn {
+        self.next += 1;
+        self.next
+    }
+
+    /// Listens. Gives the listener's number and the address, whose port is the one that was free if 0 was asked.
+    pub fn listen(
+        &mut self,
+        at: SocketAddr,
+        security: Security,
+        bounds: Bounds,
+    ) -> io::Result<(Conn, SocketAddr)> {
+        let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_reuse_address(true)?;
+        socket.set_nonblocking(true)?;
+        socket.bind(&at.into())?;
+        // All proxies at once after a restart, and some.
+        socket.listen(1024)?;
+        let socket = TcpListener::from(socket);
+        let (id, at) = (self.number(), socket.local_addr()?);
+        // Deleted from the poller before it is closed, in `close_listeners` or when both are dropped.
+        unsafe { self.poller.add_with_mode(&socket, Event::readable(id), PollMode::Level)? };
+        self.listeners.insert(id, Listener { socket, security, bounds, count: 0, open: true });
+        Ok((id, at))
+    }
+
+    /// Dials. That it stands, or not, is told later.
+    pub fn dial(&mut self, to: SocketAddr, security: &Security, bounds: Bounds) -> io::Result<Conn> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        let refused = match socket.connect(&to.into()) {
+            Ok(()) => false,
+            Err(e) if e.raw_os_error() == Some(EINPROGRESS) || e.kind() == io::ErrorKind::WouldBlock => false,
+            Err(_) => true,
+        };
+        let id = self.number();
+        if refused {
+            self.told.push(Happened::Closed { conn: id, why: Why::Refused });
+            return Ok(id);
+        }
+        let line = Line::new(socket.into(), security.start()?, bounds, None, true, self.now());
+        unsafe { self.poller.add_with_mode(line.socket(), Event::all(id), PollMode::Level)? };
+        self.lines.insert(id, line);
+        Ok(id)
+    }
+
+    /// Tells of a signal instead of dying by it.
+    pub fn signal(&mut self, signal: i32) -> io::Result<()> {
+        let (near, far) = UnixStream::pair()?;
+        near.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(signal, far)?;
+        let id = self.number();
+        unsafe { self.poller.add_with_mode(&near, Event::readable(id), PollMode::Level)? };
+        self.signals.insert(id, (near, signal));
+        Ok(())
+    }
+
+    /// Writes, now or as the other side reads. Past the bound, the connection ends.
+    pub fn write(&mut self, conn: Conn, bytes: &[u8]) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        if line.is_finishing() || bytes.is_empty() {
+            return;
+        }
+        if line.queue(bytes) {
+            self.flush(conn);
+        } else {
+            self.close(conn, Why::Unread);
+        }
+    }
+
+    /// Bytes that wait to be written.
+    pub fn waiting(&self, conn: Conn) -> usize {
+        self.lines.get(&conn).map_or(0, Line::waiting)
+    }
+
+    pub fn is_open(&self, conn: Conn) -> bool {
+        self.lines.contains_key(&conn)
+    }
+
+    /// Reads no more from it for now, or again: what the peer sends then fills its own side.
+    pub fn hold(&mut self, conn: Conn, held: bool) {
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.held = held;
+            let _ = interest(&self.poller, conn, line);
+        }
+    }
+
+    /// Closes it once all is written.
+    pub fn finish(&mut self, conn: Conn) {
+        let now = self.now();
+        if let Some(line) = self.lines.get_mut(&conn) {
+            line.finish(now + LINGER);
+            self.flush(conn);
+        }
+    }
+
+    /// Closes it at once; nothing more is told of it.
+    pub fn cut(&mut self, conn: Conn) {
+        self.forget(conn);
+    }
+
+    /// Takes no new connections.
+    pub fn close_listeners(&mut self) {
+        for listener in self.listeners.values_mut().filter(|l| l.open) {
+            listener.open = false;
+            let _ = self.poller.delete(&listener.socket);
+        }
+    }
+
+    fn forget(&mut self, conn: Conn) {
+        if let Some(line) = self.lines.remove(&conn) {
+            let _ = self.poller.delete(line.socket());
+            if let Some(listener) = line.listener.and_then(|l| self.listeners.get_mut(&l)) {
+                listener.count -= 1;
+            }
+        }
+    }
+
+    fn close(&mut self, conn: Conn, why: Why) {
+        if self.lines.contains_key(&conn) {
+            self.forget(conn);
+            self.told.push(Happened::Closed { conn, why });
+        }
+    }
+
+    fn flush(&mut self, conn: Conn) {
+        let Some(line) = self.lines.get_mut(&conn) else { return };
+        match line.flush() {
+            Ok(()) => _ = interest(&self.poller, conn, line),
+            Err(why) => self.close(conn, why),
+        }
+    }
+
+    /// One turn: waits until something is ready, or until `until`, and tells what happened.
+    pub fn wait(&mut self, until: Option<Duration>) -> io::Result<Vec<Happened>> {
+        if let Some(since) = self.busy_since.take() {
+            self.lengths.saturating_record(since.elapsed().as_micros() as u64);
+        }
+        let now = self.now();
+        let due = until.unwrap_or(Duration::MAX).min(self.swept + SWEEP).saturating_sub(now);
+        let patience = if self.told.is_empty() { due } else { Duration::ZERO };
+        self.events.clear();
+        match self.poller.wait(&mut self.events, Some(patience)) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        self.busy_since = Some(Instant::now());
+        let mut happened = std::mem::take(&mut self.told);
+        let ready: Vec<Event> = self.events.iter().collect();
+        for event in ready {
+            self.ready(event, &mut happened);
+        }
+        if self.now() >= self.swept + SWEEP {
+            self.sweep();
+        }
+        happened.append(&mut self.told);
+        Ok(happened)
+    }
+
+    fn ready(&mut self, event: Event, happened: &mut Vec<Happened>) {
+        let id = event.key;
+        if self.listeners.contains_key(&id) {
+            self.accept(id);
+            return;
+        }
+        if let Some((pipe, signal)) = self.signals.get_mut(&id) {
+            let mut sink = [0; 64];
+            while matches!(pipe.read(&mut sink), Ok(n) if n > 0) {}
+            happened.push(Happened::Signal(*signal));
+            return;
+        }
+        let now = self.now();
+        let Some(line) = self.lines.get_mut(&id) else { return };
+        let listener = line.listener;
+        let outcome = line.ready(&event, now);
+        if let Some(certificate) = outcome.opened {
+            happened.push(Happened::Open { conn: id, listener, certificate });
+        }
+        if !outcome.bytes.is_empty() {
+            happened.push(Happened::Bytes { conn: id, bytes: outcome.bytes });
+        }
+        match outcome.ended {
+            Some(why) => {
+                self.forget(id);
+                happened.push(Happened::Closed { conn: id, why });
+            }
+            None => {
+                if let Some(line) = self.lines.get_mut(&id) {
+                    let _ = interest(&self.poller, id, line);
+                }
+            }
+        }
+    }
+
+    fn accept(&mut self, id: Conn) {
+        for _ in 0..ACCEPTED_MOST {
+            let now = self.now();
+            let Some(listener) = self.listeners.get_mut(&id).filter(|l| l.open) else { return };
+            // What is not there any more, or can't be had for now, is tried again with the next turn.
+            let Ok((stream, _)) = listener.socket.accept() else { return };
+            if listener.count >= listener.bounds.connections {
+                self.turned_away += 1;
+                continue;
+            }
+            let set = stream.set_nonblocking(true).and_then(|()| stream.set_nodelay(true));
+            let Ok(tls) = set.and_then(|()| listener.security.start()) else { continue };
+            let line = Line::new(stream, tls, listener.bounds, Some(id), false, now);
+            listener.count += 1;
+            let conn = self.number();
+            let plain = line.is_plain();
+            let added =
+                unsafe { self.poller.add_with_mode(line.socket(), Event::readable(conn), PollMode::Level) };
+            self.lines.insert(conn, line);
+            if added.is_err() {
+                self.forget(conn);
+                continue;
+            }
+            if plain {
+                self.told.push(Happened::Open { conn, listener: Some(id), certificate: None });
+            } else {
+                // A side that starts the handshake has bytes to write at once.
+                self.flush(conn);
+            }
+        }
+    }
+
+    fn sweep(&mut self) {
+        self.swept = self.now();
+        let late = |(conn, line): (&Conn, &Line)| line.late(self.swept).map(|why| (*conn, why));
+        let late: Vec<(Conn, Why)> = self.lines.iter().filter_map(late).collect();
+        late.into_iter().for_each(|(conn, why)| self.close(conn, why));
+    }
+}
+
+/// Connecting goes on in the background (Linux, and alike on what else this runs on).
+const EINPROGRESS: i32 = 115;
+
+fn interest(poller: &Poller, conn: Conn, line: &mut Line) -> io::Result<()> {
+    let wanted = (line.wants_read(), line.wants_write());
+    if line.interest != Some(wanted) {
+        line.interest = Some(wanted);
+        let event = Event::new(conn, wanted.0, wanted.1);
+        let fd: BorrowedFd = line.socket().as_fd();
+        poller.modify_with_mode(fd, event, PollMode::Level)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/turn/src/tests.rs
@@ -0,0 +1,182 @@
+use super::*;
+use rcgen::{BasicConstraints, CertificateParams, ExtendedKeyUsagePurpose, IsCa, KeyPair};
+use rustls::pki_types::{PrivateKeyDer, ServerName};
+use rustls::{ClientConfig, RootCertStore, ServerConfig};
+use std::io::Write;
+use std::net::TcpStream;
+
+const ANY: &str = "127.0.0.1:0";
+
+fn any() -> SocketAddr {
+    ANY.parse().unwrap()
+}
+
+/// Turns until something is told that `wanted` picks; a minute is far beyond what any of this takes.
+fn until<T>(turn: &mut Turn, mut wanted: impl FnMut(&mut Turn, &Happened) -> Option<T>) -> T {
+    let end = Instant::now() + Duration::from_secs(60);
+    while Instant::now() < end {
+        for h in turn.wait(None).unwrap() {
+            if let Some(found) = wanted(turn, &h) {
+                return found;
+            }
+        }
+    }
+    panic!("nothing came");
+}
+
+fn issue() -> (Security, Security, Security) {
+    let ca_key = KeyPair::generate().unwrap();
+    let mut ca = CertificateParams::new(vec![]).unwrap();
+    ca.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let ca = ca.self_signed(&ca_key).unwrap();
+    let key = KeyPair::generate().unwrap();
+    let mut leaf = CertificateParams::new(vec!["peer.test".to_string()]).unwrap();
+    leaf.extended_key_usages = vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
+    let leaf = leaf.signed_by(&key, &ca, &ca_key).unwrap();
+    let mut roots = RootCertStore::empty();
+    roots.add(ca.der().clone()).unwrap();
+    let roots = Arc::new(roots);
+    let private = || PrivateKeyDer::try_from(key.serialize_der()).unwrap();
+    let provider = Arc::new(rustls::crypto::ring::default_provider());
+    let verifier =
+        rustls::server::WebPkiClientVerifier::builder_with_provider(roots.clone(), provider.clone());
+    let answers = ServerConfig::builder_with_provider(provider.clone())
+        .with_safe_default_protocol_versions()
+        .unwrap()
+        .with_client_cert_verifier(verifier.build().unwrap())
+        .with_single_cert(vec![leaf.der().clone()], private())
+        .unwrap();
+    let start = |roots: Arc<RootCertStore>| {
+        ClientConfig::builder_with_provider(provider.clone())
+            .with_safe_default_protocol_versions()
+            .unwrap()
+            .with_root_certificates(roots)
+    };
+    let name = ServerName::try_from("peer.test").unwrap();
+    let trusted = start(roots.clone()).with_client_auth_cert(vec![leaf.der().clone()], private()).unwrap();
+    let nameless = start(roots).with_no_client_auth();
+    let starts = |terms| Security::Starts(Arc::new(terms), name.clone());
+    (Security::Answers(Arc::new(answers)), starts(trusted), starts(nameless))
+}
+
+#[test]
+fn bytes_pass_both_ways_under_tls_with_certificates_on_both_sides() {
+    let (answers, starts, _) = issue();
+    let mut turn = Turn::new().unwrap();
+    let (_, at) = turn.listen(any(), answers, Bounds::default()).unwrap();
+    let near = turn.dial(at, &starts, Bounds::default()).unwrap();
+    // Written before the handshake is over, and larger than any buffer on the way.
+    let long: Vec<u8> = (0..3_000_000u32).map(|k| k as u8).collect();
+    turn.write(near, &long);
+    let mut got = Vec::new();
+    until(&mut turn, |turn, h| match h {
+        Happened::Open { certificate, .. } => certificate.is_none().then(|| panic!("no certificate")),
+        Happened::Bytes { conn, bytes } if *conn != near => {
+            got.extend_from_slice(bytes);
+            if got.len() == long.len() {
+                turn.write(*conn, b"thanks");
+            }
+            None
+        }
+        Happened::Bytes { bytes, .. } => (bytes == b"thanks").then_some(()),
+        _ => None,
+    });
+    assert!(got == long);
+}
+
+#[test]
+fn who_has_no_certificate_or_speaks_no_tls_is_untrusted() {
+    let (answers, _, nameless) = issue();
+    let mut turn = Turn::new().unwrap();
+    let (_, at) = turn.listen(any(), answers, Bounds::default()).unwrap();
+    let near = turn.dial(at, &nameless, Bounds::default()).unwrap();
+    let why = until(&mut turn, |_, h| match h {
+        Happened::Closed { conn, why } if *conn != near => Some(*why),
+        _ => None,
+    });
+    assert_eq!(why, Why::Untrusted);
+    let mut plain = TcpStream::connect(at).unwrap();
+    plain.write_all(b"GET / HTTP/1.1\r\n\r\n").unwrap();
+    let closed = |_: &mut Turn, h: &Happened| match h {
+        Happened::Closed { why: Why::Untrusted, conn } if *conn != near => Some(()),
+        _ => None,
+    };
+    until(&mut turn, closed);
+}
+
+#[test]
+fn a_peer_that_says_nothing_or_reads_nothing_loses_its_connection() {
+    let mut turn = Turn::new().unwrap();
+    let bounds = Bounds { idle: Some(Duration::from_millis(50)), unread: 1 << 20, ..Bounds::default() };
+    let (_, at) = turn.listen(any(), Security::Plain, bounds).unwrap();
+    let _silent = TcpStream::connect(at).unwrap();
+    let closed = |_: &mut Turn, h: &Happened| match h {
+        Happened::Closed { why, .. } => Some(*why),
+        _ => None,
+    };
+    assert_eq!(until(&mut turn, closed), Why::Idle);
+
+    let bounds = Bounds { idle: None, ..bounds };
+    let (_, at) = turn.listen(any(), Security::Plain, bounds).unwrap();
+    let _deaf = TcpStream::connect(at).unwrap();
+    let conn = until(&mut turn, |_, h| if let Happened::Open { conn, .. } = h { Some(*conn) } else { None });
+    while turn.is_open(conn) {
+        turn.write(conn, &[7; 100_000]);
+        assert!(turn.waiting(conn) <= 1 << 20);
+    }
+    assert_eq!(until(&mut turn, closed), Why::Unread);
+}
+
+#[test]
+fn a_handshake_that_stalls_ends_and_a_refused_connection_is_told() {
+    let (answers, starts, _) = issue();
+    let mut turn = Turn::new().unwrap();
+    let bounds = Bounds { handshake: Duration::from_millis(50), ..Bounds::default() };
+    let (_, at) = turn.listen(any(), answers, bounds).unwrap();
+    let _stalled = TcpStream::connect(at).unwrap();
+    let closed =
+        |_: &mut Turn, h: &Happened| if let Happened::Closed { why, .. } = h { Some(*why) } else { None };
+    assert_eq!(until(&mut turn, closed), Why::Slow);
+    let free = TcpListener::bind(ANY).unwrap().local_addr().unwrap();
+    turn.dial(free, &starts, Bounds::default()).unwrap();
+    assert_eq!(until(&mut turn, closed), Why::Refused);
+}
+
+#[test]
+fn a_finished_connection_delivers_what_was_written() {
+    let mut turn = Turn::new().unwrap();
+    let (_, at) = turn.listen(any(), Security::Plain, Bounds::default()).unwrap();
+    let mut peer = TcpStream::connect(at).unwrap();
+    peer.write_all(b"unread by the other side").unwrap();
+    let conn = until(&mut turn, |_, h| if let Happened::Open { conn, .. } = h { Some(*conn) } else { None });
+    turn.write(conn, &[1; 200_000]);
+    turn.finish(conn);
+    let reader = std::thread::spawn(move || {
+        let mut all = Vec::new();
+        peer.read_to_end(&mut all).map(|_| all.len())
+    });
+    until(&mut turn, |_, h| matches!(h, Happened::Closed { why: Why::Finished, .. }).then_some(()));
+    assert_eq!(reader.join().unwrap().unwrap(), 200_000);
+}
+
+#[test]
+fn a_listener_takes_no_more_than_it_may_and_a_held_connection_is_not_read() {
+    let mut turn = Turn::new().unwrap();
+    let bounds = Bounds { connections: 1, ..Bounds::default() };
+    let (_, at) = turn.listen(any(), Security::Plain, bounds).unwrap();
+    let mut first = TcpStream::connect(at).unwrap();
+    let conn = until(&mut turn, |_, h| if let Happened::Open { conn, .. } = h { Some(*conn) } else { None });
+    let mut second = TcpStream::connect(at).unwrap();
+    while turn.turned_away == 0 {
+        turn.wait(None).unwrap();
+    }
+    assert!(matches!(second.read(&mut [0; 8]), Ok(0) | Err(_)));
+    turn.hold(conn, true);
+    first.write_all(b"x").unwrap();
+    let bytes = |h: &Happened| matches!(h, Happened::Bytes { .. });
+    for _ in 0..3 {
+        assert!(!turn.wait(Some(turn.now() + Duration::from_millis(5))).unwrap().iter().any(bytes));
+    }
+    turn.hold(conn, false);
+    until(&mut turn, |_, h| bytes(h).then_some(()));
+}
