--- /dev/null
+++ b/daemon/src/forwarder.rs
@@ -0,0 +1,633 @@
+//! The forwarder's shell: queries in and out by HTTP/1.1, tables by NETCONF from a planner that it dials.
+
+use crate::http::{write_answer, write_query, Bad, Message, Reader};
+use crate::papers::{holder, Terms, Unusable};
+use crate::{earliest, wall_text};
+use nanorand::{Rng, WyRand};
+use runloom_forward::query::{Ended, Refusal, Step};
+use runloom_forward::tables::{Held, Pick};
+use runloom_forward::{Manner, Proxy, QueryId};
+use runloom_model::forwarder::Stand;
+use runloom_model::schema::derive;
+use runloom_model::{Schema, PROXY, PROXY_XSD, YANG};
+use runloom_netconf::error::{RpcError, Tag};
+use runloom_netconf::service::{Access, Change, Host, Known, Limits, Service, CAPABILITIES};
+use runloom_netconf::session::{Bounds as SessionBounds, Heard, Role, Session};
+use runloom_netconf::tree::Element;
+use runloom_turn::{Bounds, Conn, Happened, Security, Turn, Why};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Waits between dials to a planner: drawn between these, so that a fleet does not dial in step.
+const REDIAL: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// Connections kept open to one server while no query needs them.
+const POOL_MOST: usize = 8;
+/// A connection to a server stands within this time, or is refused.
+const CONNECT: Duration = Duration::from_millis(250);
+/// Bytes of a client's further queries that wait while one is out: the client's own bound, not ours.
+const AHEAD_MOST: usize = 64 << 10;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Papers(#[from] Unusable),
+    #[error("{0}")]
+    Schema(String),
+}
+
+/// The datastore that a planner edits: checked and taken whole.
+struct Store {
+    data: Arc<Element>,
+    held: Option<Held>,
+    about: Element,
+    edits: u64,
+}
+
+fn held_of(data: &Element) -> Result<Held, String> {
+    data.child("tables").map_or_else(|| Ok(Held::default()), Held::read)
+}
+
+impl Host for Store {
+    fn running(&self) -> Arc<Element> {
+        self.data.clone()
+    }
+
+    fn state(&mut self) -> Vec<Element> {
+        vec![self.about.clone()]
+    }
+
+    fn check(&mut self, wanted: &Arc<Element>) -> Result<(), Vec<RpcError>> {
+        let error = |why| vec![RpcError::application(Tag::InvalidValue, why).at("/tables")];
+        held_of(wanted).map(|_| ()).map_err(error)
+    }
+
+    fn commit(&mut self, change: &Change) -> Result<(), Vec<RpcError>> {
+        let error = |why| vec![RpcError::application(Tag::InvalidValue, why).at("/tables")];
+        self.held = Some(held_of(change.wanted).map_err(error)?);
+        self.data = change.wanted.clone();
+        self.edits += 1;
+        Ok(())
+    }
+
+    fn known(&self, _: &str, _: &str) -> Known {
+        Known::New
+    }
+
+    fn may(&mut self, _: &str, _: Access) -> Result<(), RpcError> {
+        Ok(())
+    }
+
+    fn schemas(&self) -> &[(&'static str, &'static str, &'static str)] {
+        &YANG
+    }
+}
+
+struct Caller {
+    reader: Reader,
+    query: Option<QueryId>,
+    close: bool,
+}
+
+/// A try on its way: what is sent once the connection stands, and what was.
+struct Upstream {
+    address: SocketAddr,
+    reader: Reader,
+    query: Option<QueryId>,
+    open: bool,
+    dialled: Duration,
+}
+
+struct Stream {
+    conn: Conn,
+    session: Session,
+    id: u32,
+}
+
+struct Out {
+    caller: Conn,
+    text: Vec<u8>,
+    upstream: Conn,
+    until: Duration,
+}
+
+pub struct Forwarder {
+    stand: Stand,
+    proxy: Proxy,
+    store: Store,
+    service: Service,
+    security: Security,
+    chance: WyRand,
+    stream: Option<Stream>,
+    dialling: Option<Conn>,
+    dial_at: Duration,
+    next_planner: usize,
+    callers: BTreeMap<Conn, Caller>,
+    upstreams: BTreeMap<Conn, Upstream>,
+    pool: BTreeMap<SocketAddr, Vec<Conn>>,
+    out: BTreeMap<QueryId, Out>,
+    limits: BTreeSet<(Duration, QueryId)>,
+    next_query: QueryId,
+    report_at: Duration,
+    reported: Duration,
+    listener: Conn,
+    /// Queries a second, over some ten seconds.
+    rate: f64,
+    /// Connections made since a host asked, who has several forwarders on one loop.
+    pub made: Vec<Conn>,
+    /// Edits taken since a host asked: lines.
+    pub taken: Vec<usize>,
+    /// Reads nothing that a planner sends, for days on which that happens.
+    pub deaf: bool,
+    /// What the standing lines named, for the first orders.
+    pub stopping: bool,
+}
+
+impl Forwarder {
+    pub fn start(turn: &mut Turn, stand: Stand, seed: u64) -> Result<(Forwarder, SocketAddr), Failed> {
+        let terms = Terms::load(&stand.papers)?;
+        let bounds = Bounds { idle: Some(Duration::from_secs(60)), unread: 4 << 20, ..Bounds::default() };
+        let (listener, at) = turn.listen(stand.listen, Security::Plain, bounds)?;
+        let schema = Schema::root(derive(PROXY_XSD, &["tables"]).map_err(Failed::Schema)?);
+        let manner =
+            Manner { pick: Pick::named(&stand.pick), shun_after: stand.shun_after, shun_for: stand.shun_for };
+        let proxy = Proxy::new(manner, stand.classes.clone(), &stand.standing, seed);
+        let data = Arc::new(Element::new("", "data"));
+        let store = Store { data, held: None, about: Element::default(), edits: 0 };
+        tracing::info!(forwarder = %stand.name, listen = %at, "forwarder started");
+        let now = turn.now();
+        let forwarder = Forwarder {
+            report_at: now + stand.report,
+            reported: now,
+            stand,
+            proxy,
+            store,
+            service: Service::new(schema, Limits::default()),
+            // RFC 8071: it dials, and is the server all the same.
+            security: Security::Answers(terms.answers),
+            chance: WyRand::new_seed(seed ^ 0x5151),
+            stream: None,
+            dialling: None,
+            dial_at: now,
+            next_planner: 0,
+            callers: BTreeMap::new(),
+            upstreams: BTreeMap::new(),
+            pool: BTreeMap::new(),
+            out: BTreeMap::new(),
+            limits: BTreeSet::new(),
+            next_query: 0,
+            listener,
+            rate: 0.0,
+            made: vec![listener],
+            taken: vec![],
+            deaf: false,
+            stopping: false,
+        };
+        Ok((forwarder, at))
+    }
+
+    pub fn run(&mut self, turn: &mut Turn) -> io::Result<()> {
+        let mut end: Option<Duration> = None;
+        loop {
+            for h in turn.wait(earliest([self.wakes_at(), end]))? {
+                self.happened(turn, h);
+            }
+            self.turned(turn);
+            if self.stopping && end.is_none() {
+                turn.close_listeners();
+                // Queries that are out are answered; the longest takes its outer limit.
+                let longest = self.stand.classes.iter().map(|c| c.outer_limit).max();
+                end = Some(turn.now() + longest.unwrap_or_default());
+            }
+            if end.is_some_and(|end| turn.now() >= end || self.out.is_empty()) {
+                return Ok(());
+            }
+        }
+    }
+
+    pub fn name(&self) -> &str {
+        &self.stand.name
+    }
+
+    pub fn proxy(&self) -> &Proxy {
+        &self.proxy
+    }
+
+    pub fn is_joined(&self) -> bool {
+        self.stream.as_ref().is_some_and(|s| s.session.is_open())
+    }
+
+    /// Breaks its stream, for days on which that happens.
+    pub fn break_stream(&mut self, turn: &mut Turn) {
+        if let Some(stream) = self.stream.take() {
+            turn.cut(stream.conn);
+            self.lost(turn.now(), stream);
+        }
+    }
+
+    pub fn wakes_at(&self) -> Option<Duration> {
+        let dial = (self.stream.is_none() && self.dialling.is_none() && !self.stopping).then_some(self.dial_at);
+        let limit = self.limits.first().map(|(at, _)| *at);
+        let connecting = self.upstreams.values().filter(|u| !u.open).map(|u| u.dialled + CONNECT).min();
+        earliest([dial, limit, connecting, Some(self.report_at)])
+    }
+
+    pub fn happened(&mut self, turn: &mut Turn, happened: Happened) {
+        match happened {
+            Happened::Signal(_) => self.stopping = true,
+            Happened::Open { conn, listener, certificate } => self.opened(turn, conn, listener, certificate),
+            Happened::Bytes { conn, bytes } => self.bytes(turn, conn, &bytes),
+            Happened::Closed { conn, why } => self.closed(turn, conn, why),
+        }
+    }
+
+    fn opened(&mut self, turn: &mut Turn, conn: Conn, listener: Option<Conn>, certificate: Option<Vec<u8>>) {
+        if listener == Some(self.listener) {
+            self.callers.insert(conn, Caller { reader: Reader::queries(), query: None, close: false });
+            self.made.push(conn);
+        } else if self.dialling == Some(conn) {
+            self.dialling = None;
+            let who = certificate.as_deref().and_then(holder);
+            let Some(who) = who.filter(|w| w.planner) else {
+                // Orders are taken from planners only.
+                tracing::warn!(forwarder = %self.stand.name, "who answered is no planner");
+                turn.cut(conn);
+                return self.redial(turn.now());
+            };
+            let Some(id) = self.service.open(&who.name, turn.now()) else {
+                turn.cut(conn);
+                return self.redial(turn.now());
+            };
+            let session = Session::new(Role::Server { id }, &CAPABILITIES, SessionBounds::default());
+            self.stream = Some(Stream { conn, session, id });
+            // What was met while nobody listened is old by now.
+            self.proxy.report(Duration::ZERO);
+            self.reported = turn.now();
+            self.write_stream(turn);
+        } else if let Some(upstream) = self.upstreams.get_mut(&conn) {
+            upstream.open = true;
+            self.send(turn, conn);
+        }
+    }
+
+    /// Writes the query that a connection to a server is for.
+    fn send(&mut self, turn: &mut Turn, conn: Conn) {
+        let query = self.upstreams.get(&conn).and_then(|u| u.query);
+        if let Some(out) = query.and_then(|q| self.out.get(&q)) {
+            turn.write(conn, &out.text);
+        }
+    }
+
+    fn bytes(&mut self, turn: &mut Turn, conn: Conn, bytes: &[u8]) {
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.reader.push(bytes);
+            self.read_caller(turn, conn);
+        } else if self.upstreams.contains_key(&conn) {
+            self.read_upstream(turn, conn, bytes);
+        } else if self.stream.as_ref().is_some_and(|s| s.conn == conn) {
+            if self.deaf {
+                turn.hold(conn, true);
+                return;
+            }
+            self.read_stream(turn, bytes);
+        }
+    }
+
+    fn read_caller(&mut self, turn: &mut Turn, conn: Conn) {
+        let Some(caller) = self.callers.get_mut(&conn) else { return };
+        if caller.query.is_some() {
+            // One query at a time; what comes early waits, within a bound.
+            if caller.reader.held() > AHEAD_MOST {
+                turn.hold(conn, true);
+            }
+            return;
+        }
+        match caller.reader.next_message() {
+            Ok(None) => {}
+            Ok(Some(query)) => self.came(turn, conn, query),
+            Err(bad) => {
+                let code = if bad == Bad::Malformed { 400 } else { 413 };
+                turn.write(conn, &write_answer(code, &[], b""));
+                turn.finish(conn);
+                self.callers.remove(&conn);
+            }
+        }
+    }
+
+    /// A query: its class is the first part of its path.
+    fn came(&mut self, turn: &mut Turn, conn: Conn, mut query: Message) {
+        let now = turn.now();
+        if let Some(caller) = self.callers.get_mut(&conn) {
+            caller.close = query.close;
+        }
+        let class = query.path.split('/').nth(1).and_then(|name| self.proxy.class(name));
+        let Some(class) = class else {
+            return self.answer(turn, conn, &write_answer(404, &[], b"no such class\n"));
+        };
+        self.next_query += 1;
+        let id = self.next_query;
+        query.headers.push(("runloom-proxy".into(), self.stand.name.clone()));
+        let text = write_query(&query);
+        match self.proxy.arrived(now, id, class) {
+            Step::Send { address, until, .. } => {
+                if let Some(caller) = self.callers.get_mut(&conn) {
+                    caller.query = Some(id);
+                }
+                self.limits.insert((until, id));
+                self.out.insert(id, Out { caller: conn, text, upstream: 0, until });
+                self.try_at(turn, id, address);
+            }
+            Step::Refuse { why, after } => self.refuse(turn, conn, why, after),
+            Step::Answer => {}
+        }
+    }
+
+    /// Sends a query to a server, on a connection that is open already if there is one.
+    fn try_at(&mut self, turn: &mut Turn, id: QueryId, address: SocketAddr) {
+        let pooled = self.pool.get_mut(&address).and_then(Vec::pop);
+        let conn = match pooled {
+            Some(conn) => conn,
+            None => {
+                let bounds = Bounds { idle: Some(Duration::from_secs(15)), handshake: CONNECT, ..Bounds::default() };
+                match turn.dial(address, &Security::Plain, bounds) {
+                    Ok(conn) => {
+                        let reader = Reader::answers();
+                        let dialled = turn.now();
+                        self.upstreams.insert(conn, Upstream { address, reader, query: None, open: false, dialled });
+                        self.made.push(conn);
+                        conn
+                    }
+                    // No socket to be had: nothing was written.
+                    Err(_) => return self.ended(turn, id, Ended::NoConnection),
+                }
+            }
+        };
+        if let Some(out) = self.out.get_mut(&id) {
+            out.upstream = conn;
+        }
+        let Some(upstream) = self.upstreams.get_mut(&conn) else { return };
+        upstream.query = Some(id);
+        if upstream.open {
+            self.send(turn, conn);
+        }
+    }
+
+    fn read_upstream(&mut self, turn: &mut Turn, conn: Conn, bytes: &[u8]) {
+        let Some(upstream) = self.upstreams.get_mut(&conn) else { return };
+        upstream.reader.push(bytes);
+        let answer = upstream.reader.next_message();
+        let Some(id) = upstream.query else {
+            // A server that speaks unasked is out of step.
+            turn.cut(conn);
+            self.drop_upstream(conn);
+            return;
+        };
+        match answer {
+            Ok(None) => {}
+            Ok(Some(answer)) => {
+                upstream.query = None;
+                let (address, reusable) = (upstream.address, !answer.close && upstream.reader.held() == 0);
+                let pool = self.pool.entry(address).or_default();
+                if reusable && pool.len() < POOL_MOST {
+                    pool.push(conn);
+                } else {
+                    turn.cut(conn);
+                    self.drop_upstream(conn);
+                }
+                let load = answer.numbers("runloom-load");
+                let how = match answer.code {
+                    503 if answer.header("runloom-turned-away").is_some() => Ended::TurnedAway { load },
+                    500..=599 => Ended::Error { load },
+                    _ => Ended::Answered { load },
+                };
+                let text = write_answer(answer.code, &answer.headers, &answer.body);
+                self.ended_with(turn, id, how, Some(text));
+            }
+            Err(_) => {
+                turn.cut(conn);
+                self.drop_upstream(conn);
+                self.ended(turn, id, Ended::BrokenAfter);
+            }
+        }
+    }
+
+    fn drop_upstream(&mut self, conn: Conn) {
+        if let Some(upstream) = self.upstreams.remove(&conn) {
+            if let Some(pool) = self.pool.get_mut(&upstream.address) {
+                pool.retain(|c| *c != conn);
+            }
+        }
+    }
+
+    fn ended(&mut self, turn: &mut Turn, id: QueryId, how: Ended) {
+        self.ended_with(turn, id, how, None);
+    }
+
+    fn ended_with(&mut self, turn: &mut Turn, id: QueryId, how: Ended, text: Option<Vec<u8>>) {
+        let Some(step) = self.proxy.ended(turn.now(), id, how) else { return };
+        match step {
+            Step::Send { address, .. } => self.try_at(turn, id, address),
+            Step::Answer => {
+                if let Some(caller) = self.over(id) {
+                    self.answer(turn, caller, &text.unwrap_or_default());
+                }
+            }
+            Step::Refuse { why, after } => {
+                let Some(caller) = self.over(id) else { return };
+                match text {
+                    // A server's own word of failure goes to the client as it is.
+                    Some(text) => self.answer(turn, caller, &text),
+                    None => self.refuse(turn, caller, why, after),
+                }
+            }
+        }
+    }
+
+    /// The query is over: who asked.
+    fn over(&mut self, id: QueryId) -> Option<Conn> {
+        let out = self.out.remove(&id)?;
+        self.limits.remove(&(out.until, id));
+        Some(out.caller)
+    }
+
+    fn refuse(&mut self, turn: &mut Turn, caller: Conn, why: Refusal, after: Option<Duration>) {
+        let mut headers = vec![("runloom-refused".to_string(), why.word().to_string())];
+        if let Some(after) = after {
+            headers.push(("retry-after".into(), format!("{}", after.as_secs_f64().ceil() as u64)));
+            headers.push(("retry-after-ms".into(), after.as_millis().to_string()));
+        }
+        let code = if why == Refusal::Late { 504 } else { 503 };
+        self.answer(turn, caller, &write_answer(code, &headers, b""));
+    }
+
+    fn answer(&mut self, turn: &mut Turn, conn: Conn, text: &[u8]) {
+        let Some(caller) = self.callers.get_mut(&conn) else { return };
+        turn.write(conn, text);
+        caller.query = None;
+        if caller.close {
+            self.callers.remove(&conn);
+            turn.finish(conn);
+            return;
+        }
+        turn.hold(conn, false);
+        self.read_caller(turn, conn);
+    }
+
+    fn closed(&mut self, turn: &mut Turn, conn: Conn, why: Why) {
+        if let Some(caller) = self.callers.remove(&conn) {
+            if let Some(id) = caller.query {
+                self.give_up(turn, id);
+            }
+        } else if let Some(upstream) = self.upstreams.get(&conn) {
+            let (query, open) = (upstream.query, upstream.open);
+            self.drop_upstream(conn);
+            if let Some(id) = query {
+                // A connection that never stood carried nothing; one that did may have carried all of it.
+                self.ended(turn, id, if open { Ended::BrokenAfter } else { Ended::NoConnection });
+            }
+        } else if self.dialling == Some(conn) {
+            self.dialling = None;
+            tracing::debug!(forwarder = %self.stand.name, ?why, "no planner answered");
+            self.redial(turn.now());
+        } else if let Some(stream) = self.stream.take_if(|s| s.conn == conn) {
+            tracing::info!(forwarder = %self.stand.name, ?why, "stream lost; tables stay in force");
+            self.lost(turn.now(), stream);
+        }
+    }
+
+    fn lost(&mut self, now: Duration, stream: Stream) {
+        self.service.left(stream.id, &mut self.store);
+        self.redial(now);
+    }
+
+    fn redial(&mut self, now: Duration) {
+        let (least, most) = (REDIAL.0.as_millis() as u64, REDIAL.1.as_millis() as u64);
+        // The first planner again at once on a break, the next after a refusal.
+        self.next_planner += 1;
+        self.dial_at = now + Duration::from_millis(self.chance.generate_range(least..=most));
+    }
+
+    /// Given up on: by the client, or since the outer limit passed.
+    fn give_up(&mut self, turn: &mut Turn, id: QueryId) {
+        let upstream = self.out.get(&id).map(|o| o.upstream);
+        self.over(id);
+        self.proxy.given_up(turn.now(), id);
+        if let Some(conn) = upstream.filter(|c| self.upstreams.get(c).is_some_and(|u| u.query == Some(id))) {
+            // Its answer would be taken for the next query's.
+            turn.cut(conn);
+            self.drop_upstream(conn);
+        }
+    }
+
+    fn read_stream(&mut self, turn: &mut Turn, bytes: &[u8]) {
+        let Some(stream) = self.stream.as_mut() else { return };
+        let mut heard = stream.session.take(bytes);
+        loop {
+            let batch = match heard {
+                Ok(batch) => batch,
+                Err(broken) => {
+                    tracing::warn!(forwarder = %self.stand.name, reason = %broken, "stream ends");
+                    self.write_stream(turn);
+                    return self.break_stream(turn);
+                }
+            };
+            let count = batch.len();
+            for h in batch {
+                self.stream_heard(turn, h);
+            }
+            match self.stream.as_mut() {
+                Some(stream) if stream.session.may_hold_more(count) => heard = stream.session.more(),
+                _ => break,
+            }
+        }
+        self.write_stream(turn);
+    }
+
+    fn stream_heard(&mut self, turn: &mut Turn, heard: Heard) {
+        let Heard::Rpc(rpc) = heard else { return };
+        if rpc.operation().name == "get" {
+            self.store.about = Element::new(PROXY, "proxy")
+                .with_leaf("name", &self.stand.name)
+                .with_leaf("zone", &self.stand.zone)
+                .with_leaf("rate", format!("{:.3}", self.rate))
+                .with_leaf("fresh", !self.proxy.held().ordered);
+        }
+        let Some(stream) = self.stream.as_mut() else { return };
+        let answer = self.service.handle(turn.now(), stream.id, &rpc, &mut self.store);
+        stream.session.reply(&rpc, answer.content);
+        if let Some(held) = self.store.held.take() {
+            let lines = rpc.operation().child("config").and_then(|c| c.child("tables")).map_or(0, count_lines);
+            self.taken.push(lines);
+            self.proxy.hold(held);
+        }
+    }
+
+    fn write_stream(&mut self, turn: &mut Turn) {
+        if let Some(stream) = self.stream.as_mut() {
+            let bytes = stream.session.output(usize::MAX);
+            turn.write(stream.conn, &bytes);
+        }
+    }
+
+    /// After all that happened in a turn: limits, reports, dials.
+    pub fn turned(&mut self, turn: &mut Turn) {
+        let now = turn.now();
+        while let Some((at, id)) = self.limits.first().copied().filter(|(at, _)| *at <= now) {
+            self.limits.remove(&(at, id));
+            let caller = self.out.get(&id).map(|o| o.caller);
+            self.give_up(turn, id);
+            if let Some(caller) = caller {
+                self.refuse(turn, caller, Refusal::Late, None);
+            }
+        }
+        let stalled = |(c, u): (&Conn, &Upstream)| (!u.open && now >= u.dialled + CONNECT).then_some(*c);
+        let stalled: Vec<Conn> = self.upstreams.iter().filter_map(stalled).collect();
+        for conn in stalled {
+            turn.cut(conn);
+            self.closed(turn, conn, Why::Slow);
+        }
+        if now >= self.report_at {
+            self.report(turn, now);
+        }
+        let idle = self.stream.is_none() && self.dialling.is_none() && !self.stopping;
+        if idle && now >= self.dial_at && !self.stand.planners.is_empty() {
+            let to = self.stand.planners[self.next_planner % self.stand.planners.len()];
+            let bounds = Bounds::default();
+            match turn.dial(to, &self.security, bounds) {
+                Ok(conn) => {
+                    self.made.push(conn);
+                    self.dialling = Some(conn);
+                }
+                Err(_) => self.redial(now),
+            }
+        }
+    }
+
+    fn report(&mut self, turn: &mut Turn, now: Duration) {
+        self.report_at = now + self.stand.report;
+        let span = now.saturating_sub(self.reported).max(Duration::from_millis(1));
+        self.reported = now;
+        let report = self.proxy.report(span);
+        let came: u64 = report.came.iter().map(|c| c.queries).sum();
+        let pace = came as f64 / span.as_secs_f64();
+        let part = (span.as_secs_f64() / 10.0).min(1.0);
+        self.rate += (pace - self.rate) * if self.rate == 0.0 { 1.0 } else { part };
+        let event = report.element();
+        if let Some(stream) = self.stream.as_mut() {
+            if self.service.subscribers(&event).contains(&stream.id) {
+                stream.session.notify(&wall_text(), event);
+            }
+        }
+        self.write_stream(turn);
+    }
+}
+
+fn count_lines(tables: &Element) -> usize {
+    let table = |t: &Arc<Element>| t.children.iter().filter(|c| c.name != "id").count();
+    let others = tables.children.iter().filter(|c| c.name != "table").count();
+    tables.named("table").map(table).sum::<usize>() + others
+}
--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,27 @@
+//! The program's shells: sockets, files and clocks round the cores. Nothing here decides on servers.
+
+pub mod client;
+pub mod desk;
+pub mod forwarder;
+pub mod http;
+pub mod papers;
+pub mod planner;
+pub mod settings;
+pub mod shelf;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Milliseconds since 1970.
+pub fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// The time now as RFC 3339 has it.
+pub fn wall_text() -> String {
+    humantime::format_rfc3339_millis(SystemTime::now()).to_string()
+}
+
+/// The earliest of some times.
+pub fn earliest(times: impl IntoIterator<Item = Option<Duration>>) -> Option<Duration> {
+    times.into_iter().flatten().min()
+}
--- /dev/null
+++ b/daemon/src/planner.rs
@@ -0,0 +1,722 @@
+//! The planner's shell: staff's sessions, proxies that called home, probes; one driver, one desk, one loop.
+
+use crate::desk::{schema, Desk};
+use crate::http::{write_answer, Reader};
+use crate::papers::{holder, server_name, Holder, Terms, PROXY};
+use crate::shelf::Shelf;
+use crate::{earliest, wall_ms, wall_text};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+use runloom::interface::{Found, Listing};
+use runloom_driver::{Deed, Driver};
+use runloom_model::fleet::Place;
+use runloom_model::order::Report;
+use runloom_model::{PROXY as PROXY_NS, STATE, YANG};
+use runloom_netconf::service::{Limits, Service, CAPABILITIES};
+use runloom_netconf::session::{Bounds as SessionBounds, Broken, Heard, Role, Session};
+use runloom_netconf::tree::Element;
+use runloom_netconf::{BASE, NOTIFY};
+use runloom_roster::ledger::Ledger;
+use runloom_roster::{Change, Roster};
+use runloom_turn::{Bounds, Conn, Happened, Security, Turn, Why};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A probe waits so long for an answer: longer than any server in order takes for its own word.
+const PROBE_PATIENCE: Duration = Duration::from_secs(1);
+/// Probes out at a time; further ones say nothing about their server.
+const PROBES_MOST: usize = 1024;
+/// The list is written to disk at most this often: a restart may know it that much late.
+const LIST_EVERY: Duration = Duration::from_secs(1);
+/// Staff's sessions that say nothing for so long are closed.
+const STAFF_IDLE: Duration = Duration::from_secs(3600);
+
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Papers(#[from] crate::papers::Unusable),
+    #[error("{0}")]
+    Data(String),
+}
+
+/// A staff session, or a tool's, or the feed's.
+struct Staff {
+    id: u32,
+    session: Session,
+    closing: bool,
+}
+
+/// A proxy that called home.
+struct Home {
+    holder: Holder,
+    session: Session,
+    /// The message that asks for what it is.
+    asked: Option<String>,
+    /// Once joined: its number, zone, rate and the orders that it has yet to confirm, by message.
+    proxy: Option<usize>,
+    zone: String,
+    rate: f64,
+    orders: BTreeMap<String, u64>,
+}
+
+struct Probe {
+    server: usize,
+    sent: Duration,
+    reader: Reader,
+}
+
+enum Peer {
+    Staff(Box<Staff>),
+    Home(Box<Home>),
+    Probe(Probe),
+    /// Someone who reads the metrics.
+    Reader(Reader),
+}
+
+pub struct Planner {
+    name: String,
+    driver: Driver,
+    desk: Desk,
+    roster: Roster,
+    service: Service,
+    shelf: Shelf,
+    peers: BTreeMap<Conn, Peer>,
+    joined: BTreeMap<usize, Conn>,
+    listeners: Listeners,
+    security: Security,
+    seed: u64,
+    list_saved: Option<Duration>,
+    list_dirty: bool,
+    try_disk: Duration,
+    recorder: (PrometheusRecorder, PrometheusHandle),
+    pub stopping: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Listeners {
+    edits: Conn,
+    home: Conn,
+    metrics: Option<Conn>,
+}
+
+/// Where a planner can be reached; ports that were asked as 0 are told here.
+#[derive(Debug, Clone, Copy)]
+pub struct Reachable {
+    pub edits: SocketAddr,
+    pub home: SocketAddr,
+    pub metrics: Option<SocketAddr>,
+}
+
+impl Planner {
+    /// Starts on a loop: what was accepted before is taken from the folder, else the fleet of the settings.
+    pub fn start(turn: &mut Turn, place: &Place, seed: u64) -> Result<(Planner, Reachable), Failed> {
+        let shelf = Shelf::open(&place.folder)?;
+        let terms = Terms::load(&place.papers)?;
+        let desk = open_desk(&shelf, place)?;
+        let staff = Bounds { idle: Some(STAFF_IDLE), connections: 64, ..Bounds::default() };
+        let (edits, edits_at) = turn.listen(place.edits, Security::Answers(terms.answers.clone()), staff)?;
+        // A proxy reports every period; one that is silent for several is gone without a word.
+        let silence = (desk.fleet().report * 4).max(Duration::from_secs(3));
+        // RFC 8071: who called home is the server; this side starts TLS.
+        let security = Security::Starts(terms.starts.clone(), server_name(PROXY));
+        let proxies = Bounds { idle: Some(silence), ..Bounds::default() };
+        let (home, home_at) = turn.listen(place.home, security.clone(), proxies)?;
+        let metrics = place.metrics.map(|at| {
+            let bounds = Bounds { idle: Some(Duration::from_secs(10)), connections: 16, ..Bounds::default() };
+            turn.listen(at, Security::Plain, bounds)
+        });
+        let metrics = metrics.transpose()?;
+        let epoch = wall_ms().saturating_sub(turn.now().as_millis() as u64);
+        let mut driver = Driver::new(desk.fleet().clone(), seed, epoch);
+        let mut roster = Roster::default();
+        let known = roster.update(desk.fleet(), desk.listed());
+        driver.list(Listing::Remembered, known);
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        let planner = Planner {
+            name: place.name.clone(),
+            driver,
+            desk,
+            roster,
+            service: Service::new(schema().map_err(Failed::Data)?, Limits::default()),
+            shelf,
+            peers: BTreeMap::new(),
+            joined: BTreeMap::new(),
+            listeners: Listeners { edits, home, metrics: metrics.map(|m| m.0) },
+            security,
+            seed,
+            list_saved: None,
+            list_dirty: false,
+            try_disk: Duration::ZERO,
+            recorder: (recorder, handle),
+            stopping: false,
+        };
+        let reachable = Reachable { edits: edits_at, home: home_at, metrics: metrics.map(|m| m.1) };
+        tracing::info!(planner = %place.name, edits = %edits_at, home = %home_at, "planner started");
+        Ok((planner, reachable))
+    }
+
+    /// Runs until it is told to stop.
+    pub fn run(&mut self, turn: &mut Turn) -> io::Result<()> {
+        let mut end: Option<Duration> = None;
+        loop {
+            let happened = turn.wait(earliest([self.wakes_at(), end]))?;
+            for h in happened {
+                self.happened(turn, h);
+            }
+            self.turned(turn);
+            if self.stopping && end.is_none() {
+                tracing::info!("stopping: proxies keep their tables");
+                turn.close_listeners();
+                let conns: Vec<Conn> = self.peers.keys().copied().collect();
+                conns.into_iter().for_each(|c| turn.finish(c));
+                end = Some(turn.now() + Duration::from_secs(2));
+            }
+            if end.is_some_and(|end| turn.now() >= end || self.peers.is_empty()) {
+                return Ok(());
+            }
+        }
+    }
+
+    pub fn wakes_at(&self) -> Option<Duration> {
+        let list = self.list_dirty.then(|| self.list_saved.map_or(Duration::ZERO, |at| at + LIST_EVERY));
+        earliest([self.driver.wakes_at(), self.service.wakes_at(), self.desk.ledger.wakes_at(), list])
+    }
+
+    pub fn driver(&self) -> &Driver {
+        &self.driver
+    }
+
+    /// Takes in one thing that happened.
+    pub fn happened(&mut self, turn: &mut Turn, happened: Happened) {
+        match happened {
+            Happened::Signal(_) => self.stopping = true,
+            Happened::Open { conn, listener, certificate } => self.opened(turn, conn, listener, certificate),
+            Happened::Bytes { conn, bytes } => self.bytes(turn, conn, &bytes),
+            Happened::Closed { conn, why } => self.closed(turn, conn, why),
+        }
+    }
+
+    fn opened(&mut self, turn: &mut Turn, conn: Conn, listener: Option<Conn>, certificate: Option<Vec<u8>>) {
+        let who = certificate.as_deref().and_then(holder);
+        match (listener, who) {
+            (Some(l), _) if Some(l) == self.listeners.metrics => {
+                self.peers.insert(conn, Peer::Reader(Reader::queries()));
+            }
+            (Some(l), Some(who)) if l == self.listeners.edits => self.staff(turn, conn, &who),
+            (Some(l), Some(who)) if l == self.listeners.home && who.proxy => {
+                let session = Session::new(Role::Client, &[], SessionBounds::default());
+                let home = Home {
+                    holder: who,
+                    session,
+                    asked: None,
+                    proxy: None,
+                    zone: String::new(),
+                    rate: 0.0,
+                    orders: BTreeMap::new(),
+                };
+                self.peers.insert(conn, Peer::Home(Box::new(home)));
+                self.write_out(turn, conn);
+            }
+            (None, _) => {
+                // A probe's connection: the shortest query there is.
+                turn.write(conn, b"GET /health HTTP/1.1\r\nhost: server\r\nconnection: close\r\n\r\n");
+            }
+            (_, who) => {
+                tracing::warn!(?who, "turned away: the certificate names nobody who has business here");
+                turn.cut(conn);
+            }
+        }
+    }
+
+    fn staff(&mut self, turn: &mut Turn, conn: Conn, who: &Holder) {
+        let Some(id) = self.service.open(&who.name, turn.now()) else {
+            tracing::warn!(who = %who.name, "turned away: too many sessions");
+            turn.cut(conn);
+            return;
+        };
+        self.desk.met(who);
+        tracing::info!(who = %who.name, session = id, "session opened");
+        let names: Vec<String> =
+            YANG.iter().map(|(n, v, _)| format!("urn:{}?module={n}&revision={v}", n.replace('-', ":"))).collect();
+        let all: Vec<&str> = CAPABILITIES.into_iter().chain(names.iter().map(String::as_str)).collect();
+        let session = Session::new(Role::Server { id }, &all, SessionBounds::default());
+        self.peers.insert(conn, Peer::Staff(Box::new(Staff { id, session, closing: false })));
+        self.write_out(turn, conn);
+    }
+
+    fn bytes(&mut self, turn: &mut Turn, conn: Conn, bytes: &[u8]) {
+        let heard = match self.peers.get_mut(&conn) {
+            Some(Peer::Staff(staff)) => staff.session.take(bytes),
+            Some(Peer::Home(home)) => home.session.take(bytes),
+            Some(Peer::Probe(_)) => return self.probe_answered(turn, conn, bytes),
+            Some(Peer::Reader(_)) => return self.read_metrics(turn, conn, bytes),
+            None => return,
+        };
+        self.heard(turn, conn, heard);
+    }
+
+    fn heard(&mut self, turn: &mut Turn, conn: Conn, heard: Result<Vec<Heard>, Broken>) {
+        let heard = match heard {
+            Ok(heard) => heard,
+            Err(broken) => {
+                tracing::warn!(reason = %broken, "session ends");
+                self.write_out(turn, conn);
+                turn.finish(conn);
+                return self.closed(turn, conn, Why::Broken);
+            }
+        };
+        let mut count = heard.len();
+        let mut batch = heard;
+        loop {
+            for h in batch {
+                match self.peers.get(&conn) {
+                    Some(Peer::Staff(_)) => self.staff_heard(turn, conn, h),
+                    Some(Peer::Home(_)) => self.home_heard(turn, conn, h),
+                    _ => return,
+                }
+            }
+            // Messages that one read held beyond the share; the read itself is bounded.
+            let more = match self.peers.get_mut(&conn) {
+                Some(Peer::Staff(s)) if s.session.may_hold_more(count) => s.session.more(),
+                Some(Peer::Home(h)) if h.session.may_hold_more(count) => h.session.more(),
+                _ => return,
+            };
+            match more {
+                Ok(next) => (count, batch) = (next.len(), next),
+                Err(broken) => return self.heard(turn, conn, Err(broken)),
+            }
+        }
+    }
+
+    fn staff_heard(&mut self, turn: &mut Turn, conn: Conn, heard: Heard) {
+        let Heard::Rpc(rpc) = heard else { return };
+        let now = turn.now();
+        (self.desk.now, self.desk.wall) = (now, wall_ms());
+        if rpc.operation().name == "get" {
+            self.desk.state = vec![self.state(now)];
+        }
+        let Some(Peer::Staff(staff)) = self.peers.get_mut(&conn) else { return };
+        let answer = self.service.handle(now, staff.id, &rpc, &mut self.desk);
+        let refused = answer.content.first().filter(|c| c.name == "rpc-error");
+        if let Some(error) = refused {
+            let (tag, why) = (error.text_of("error-tag"), error.text_of("error-message"));
+            tracing::info!(session = staff.id, operation = %rpc.operation().name, tag, why, "refused");
+        }
+        staff.session.reply(&rpc, answer.content);
+        staff.closing |= answer.close;
+        for killed in answer.kill {
+            let of = |(c, p): (&Conn, &Peer)| matches!(p, Peer::Staff(s) if s.id == killed).then_some(*c);
+            if let Some(other) = self.peers.iter().find_map(of) {
+                turn.cut(other);
+                self.closed(turn, other, Why::Finished);
+            }
+        }
+    }
+
+    fn home_heard(&mut self, turn: &mut Turn, conn: Conn, heard: Heard) {
+        let now = turn.now();
+        let Some(Peer::Home(home)) = self.peers.get_mut(&conn) else { return };
+        match heard {
+            Heard::Open { .. } => {
+                home.session.ask(Element::new(NOTIFY, "create-subscription"));
+                let wish = Element::new(BASE, "filter").with(Element::new(PROXY_NS, "proxy"));
+                home.asked = Some(home.session.ask(Element::new(BASE, "get").with(wish)));
+                self.write_out(turn, conn);
+            }
+            Heard::Reply { message_id, reply } if home.asked.as_ref() == Some(&message_id) => {
+                home.asked = None;
+                self.joined(turn, conn, &reply);
+            }
+            Heard::Reply { message_id, reply } => {
+                let Some(number) = home.orders.remove(&message_id) else { return };
+                let Some(proxy) = home.proxy else { return };
+                if let Some(error) = reply.child("rpc-error") {
+                    // What a proxy refuses it does not hold: it joins anew and is told everything.
+                    let why = error.text_of("error-message").unwrap_or_default();
+                    tracing::error!(proxy = %home.holder.name, why, "a proxy refused an order");
+                    turn.cut(conn);
+                    return self.closed(turn, conn, Why::Broken);
+                }
+                self.driver.applied(now, proxy, number);
+                self.desk.ledger.applied(proxy, number);
+            }
+            Heard::Notified(event) => {
+                if let (Some(proxy), Some(report)) = (home.proxy, Report::read(&event)) {
+                    self.driver.report(now, proxy, &report);
+                }
+            }
+            Heard::Rpc(_) => {}
+        }
+    }
+
+    /// A proxy said what it is.
+    fn joined(&mut self, turn: &mut Turn, conn: Conn, reply: &Element) {
+        let Some(Peer::Home(home)) = self.peers.get_mut(&conn) else { return };
+        let empty = Element::default();
+        let told = reply.child("data").and_then(|d| d.child("proxy")).unwrap_or(&empty);
+        let name = told.text_of("name").unwrap_or_default();
+        if name != home.holder.name {
+            // An instance may report only about itself.
+            tracing::warn!(holder = %home.holder.name, name, "a proxy goes by another's name");
+            turn.cut(conn);
+            return self.closed(turn, conn, Why::Untrusted);
+        }
+        home.zone = told.text_of("zone").unwrap_or_default().to_string();
+        home.rate = told.text_of("rate").and_then(|r| r.parse().ok()).unwrap_or(0.0);
+        let fresh = told.text_of("fresh") == Some("true");
+        let (zone, rate, name) = (home.zone.clone(), home.rate, name.to_string());
+        let proxy = self.driver.joined(&name, &zone, rate, fresh);
+        home.proxy = Some(proxy);
+        tracing::info!(proxy = %name, zone = %zone, rate, fresh, "joined");
+        self.desk.ledger.left(proxy);
+        if let Some(old) = self.joined.insert(proxy, conn).filter(|old| *old != conn) {
+            // The same proxy on a newer stream; the old one is half open.
+            turn.cut(old);
+            self.peers.remove(&old);
+        }
+    }
+
+    fn closed(&mut self, turn: &mut Turn, conn: Conn, why: Why) {
+        match self.peers.remove(&conn) {
+            Some(Peer::Staff(staff)) => {
+                tracing::info!(session = staff.id, ?why, "session closed");
+                (self.desk.now, self.desk.wall) = (turn.now(), wall_ms());
+                self.service.left(staff.id, &mut self.desk);
+            }
+            Some(Peer::Home(home)) => {
+                if let Some(proxy) = home.proxy.filter(|p| self.joined.get(p) == Some(&conn)) {
+                    tracing::info!(proxy = %home.holder.name, ?why, "left");
+                    self.joined.remove(&proxy);
+                    self.driver.left(proxy);
+                    self.desk.ledger.left(proxy);
+                }
+            }
+            Some(Peer::Probe(probe)) => {
+                let found = match why {
+                    Why::Slow | Why::Idle => Found::NoAnswer,
+                    _ => Found::NoConnection,
+                };
+                self.driver.probed(probe.server, found, turn.now().saturating_sub(probe.sent), vec![]);
+            }
+            Some(Peer::Reader(_)) | None => {}
+        }
+    }
+
+    fn probe_answered(&mut self, turn: &mut Turn, conn: Conn, bytes: &[u8]) {
+        let Some(Peer::Probe(probe)) = self.peers.get_mut(&conn) else { return };
+        probe.reader.push(bytes);
+        let (found, load) = match probe.reader.next_message() {
+            Ok(None) => return,
+            Ok(Some(answer)) => match answer.code {
+                200..=299 => (Found::Handled, answer.numbers("runloom-load")),
+                503 => (Found::TurnedAway, vec![]),
+                _ => (Found::Failed, vec![]),
+            },
+            Err(_) => (Found::Failed, vec![]),
+        };
+        self.driver.probed(probe.server, found, turn.now().saturating_sub(probe.sent), load);
+        self.peers.remove(&conn);
+        turn.cut(conn);
+    }
+
+    /// After all that happened in a turn: accepts, decides, orders, writes.
+    pub fn turned(&mut self, turn: &mut Turn) {
+        let now = turn.now();
+        (self.desk.now, self.desk.wall) = (now, wall_ms());
+        self.service.due(now, &mut self.desk);
+        self.keep(turn, now);
+        self.tell_decisions(now);
+        self.patience(turn, now);
+        let (deeds, ordered) = self.driver.turn(now);
+        self.desk.ledger.ordered(&ordered.servers, &ordered.proxies);
+        deeds.into_iter().for_each(|deed| self.carry(turn, deed));
+        self.settle();
+        self.reply(turn);
+        self.keep_list(now);
+    }
+
+    /// What was accepted is on disk before any reply leaves; one sync for all of a turn.
+    fn keep(&mut self, turn: &mut Turn, now: Duration) {
+        let retry = self.desk.refuses.is_some() && now >= self.try_disk;
+        let Some(file) = self.desk.unsaved() else {
+            if retry {
+                // Whether the disk is back is tried once a second.
+                self.try_disk = now + Duration::from_secs(1);
+                if self.shelf.write("probe", &Element::new("", "probe")).is_ok() {
+                    tracing::info!("edits can be kept again");
+                    self.desk.saved();
+                }
+            }
+            return;
+        };
+        match self.shelf.write("accepted.xml", &file) {
+            Ok(()) => self.desk.saved(),
+            Err(e) => {
+                tracing::error!(error = %e, "edits cannot be kept: none is accepted until they can");
+                self.desk.take_back(e.to_string());
+                // Nobody was told that these were accepted; their sessions end, and a client asks again.
+                let unsure = |(c, p): (&Conn, &Peer)| {
+                    matches!(p, Peer::Staff(s) if s.session.waiting() > 0).then_some(*c)
+                };
+                let unsure: Vec<Conn> = self.peers.iter().filter_map(unsure).collect();
+                for conn in unsure {
+                    turn.cut(conn);
+                    self.closed(turn, conn, Why::Broken);
+                }
+            }
+        }
+    }
+
+    fn tell_decisions(&mut self, now: Duration) {
+        if !std::mem::take(&mut self.desk.list_changed) {
+            // An edit that changes nothing is decided all the same.
+            self.desk.ledger.decided(now, &BTreeSet::new());
+            return;
+        }
+        let changes = self.roster.update(self.desk.fleet(), self.desk.listed());
+        let names: BTreeSet<String> = changes.iter().map(|(name, _)| name.clone()).collect();
+        self.list_dirty |= !changes.is_empty();
+        self.seed = self.seed.wrapping_add(1);
+        if self.driver.refit(self.desk.fleet().clone(), self.seed) {
+            tracing::warn!("new facts: the decisions start over, proxies keep their tables until bound again");
+            let all = self.roster.servers().iter().map(|(n, s)| (n.clone(), Change::Is(s.clone())));
+            self.driver.list(Listing::Remembered, all.collect());
+            for (proxy, conn) in &self.joined {
+                if let Some(Peer::Home(home)) = self.peers.get_mut(conn) {
+                    home.orders.clear();
+                    self.driver.joined(&home.holder.name, &home.zone, home.rate, false);
+                    self.desk.ledger.left(*proxy);
+                }
+            }
+        } else if !changes.is_empty() {
+            self.driver.list(Listing::Changes, changes);
+        }
+        self.desk.ledger.decided(now, &names);
+    }
+
+    /// A proxy that does not confirm in time holds up what others need: it is let go, and may join again.
+    fn patience(&mut self, turn: &mut Turn, now: Duration) {
+        let patience = self.desk.fleet().grace.reply;
+        let members = self.driver.members().iter();
+        let late: Vec<usize> =
+            members.filter(|(_, m)| m.oldest(now).is_some_and(|age| age >= patience)).map(|(p, _)| *p).collect();
+        for proxy in late {
+            tracing::warn!(proxy = self.driver.proxy_name(proxy), "let go: it does not confirm its orders");
+            if let Some(conn) = self.joined.get(&proxy).copied() {
+                turn.cut(conn);
+                self.closed(turn, conn, Why::Unread);
+            }
+        }
+        let overdue = |(c, p): (&Conn, &Peer)| match p {
+            Peer::Probe(probe) if now >= probe.sent + PROBE_PATIENCE => Some(*c),
+            _ => None,
+        };
+        let overdue: Vec<Conn> = self.peers.iter().filter_map(overdue).collect();
+        for conn in overdue {
+            turn.cut(conn);
+            self.closed(turn, conn, Why::Slow);
+        }
+    }
+
+    fn carry(&mut self, turn: &mut Turn, deed: Deed) {
+        match deed {
+            Deed::Send { proxy, number, body, lines } => {
+                let Some(conn) = self.joined.get(&proxy).copied() else { return };
+                let Some(Peer::Home(home)) = self.peers.get_mut(&conn) else { return };
+                let message_id = home.session.ask_text(&body);
+                home.orders.insert(message_id, number);
+                tracing::debug!(proxy = %home.holder.name, number, lines, "ordered");
+                self.write_out(turn, conn);
+            }
+            Deed::Probe { server, address } => {
+                let out = self.peers.values().filter(|p| matches!(p, Peer::Probe(_))).count();
+                let sent = turn.now();
+                let conn = if out < PROBES_MOST { turn.dial(address, &Security::Plain, Bounds::default()).ok() } else { None };
+                match conn {
+                    Some(conn) => {
+                        let probe = Probe { server, sent, reader: Reader::answers() };
+                        self.peers.insert(conn, Peer::Probe(probe));
+                    }
+                    None => self.driver.probed(server, Found::Nothing, Duration::ZERO, vec![]),
+                }
+            }
+            Deed::Log { text } => tracing::info!("{text}"),
+        }
+    }
+
+    /// Edits that came in force, told to those who subscribed.
+    fn settle(&mut self) {
+        let now = self.desk.now;
+        for edit in self.desk.ledger.settle(now) {
+            let after = now.saturating_sub(edit.took.unwrap_or(now)).as_millis();
+            tracing::info!(edit = %edit.id, who = %edit.who, at = edit.at(), of = edit.of, after_ms = after as u64, "in force");
+            let event = Element::new(STATE, "edit-in-force")
+                .with_leaf("id", &edit.id)
+                .with_leaf("at", edit.at())
+                .with_leaf("of", edit.of)
+                .with_leaf("after-ms", after);
+            let told = self.service.subscribers(&event);
+            for peer in self.peers.values_mut() {
+                if let Peer::Staff(staff) = peer {
+                    if told.contains(&staff.id) {
+                        staff.session.notify(&wall_text(), event.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    /// Replies to staff leave only now: what they tell of is on disk.
+    fn reply(&mut self, turn: &mut Turn) {
+        let staff = |(c, p): (&Conn, &Peer)| match p {
+            Peer::Staff(s) if s.session.waiting() > 0 || s.closing => Some((*c, s.closing)),
+            _ => None,
+        };
+        let staff: Vec<(Conn, bool)> = self.peers.iter().filter_map(staff).collect();
+        for (conn, closing) in staff {
+            self.write_out(turn, conn);
+            if closing {
+                turn.finish(conn);
+            }
+        }
+    }
+
+    fn write_out(&mut self, turn: &mut Turn, conn: Conn) {
+        let session = match self.peers.get_mut(&conn) {
+            Some(Peer::Staff(staff)) => &mut staff.session,
+            Some(Peer::Home(home)) => &mut home.session,
+            _ => return,
+        };
+        let bytes = session.output(usize::MAX);
+        turn.write(conn, &bytes);
+    }
+
+    fn keep_list(&mut self, now: Duration) {
+        let rested = self.list_saved.is_none_or(|at| now >= at + LIST_EVERY);
+        if self.list_dirty && rested {
+            (self.list_dirty, self.list_saved) = (false, Some(now));
+            if let Err(e) = self.shelf.write("roster.xml", &self.desk.roster()) {
+                tracing::warn!(error = %e, "the list could not be written");
+            }
+        }
+    }
+
+    /// What the planner believes and has sent.
+    fn state(&self, now: Duration) -> Element {
+        let ms = |at: Option<Duration>| at.map(|at| now.saturating_sub(at).as_millis());
+        let mut state = Element::new(STATE, "state")
+            .with_leaf("planner", &self.name)
+            .with_leaf("up-ms", now.as_millis())
+            .with_leaf("joined", self.joined.len())
+            .with_leaf("lines-waiting", self.driver.lines_waiting());
+        let mut lines = BTreeMap::new();
+        for (table, laid) in self.driver.laid() {
+            laid.lines.iter().for_each(|(s, w)| _ = lines.insert(*s, (*table, *w)));
+        }
+        for (server, listed) in self.driver.listed() {
+            let mut e = Element::new(STATE, "server")
+                .with_leaf("name", self.driver.server_name(*server))
+                .with_leaf("standing", listed);
+            if let Some((table, weight)) = lines.get(server) {
+                e = e.with_leaf("table", table).with_leaf("weight", format!("{weight:.6}"));
+            }
+            state = state.with(e);
+        }
+        for (proxy, member) in self.driver.members() {
+            let mut e = Element::new(STATE, "proxy")
+                .with_leaf("name", self.driver.proxy_name(*proxy))
+                .with_leaf("zone", &member.zone);
+            let ages = [
+                ("ordered-ms", ms(member.ordered_at)),
+                ("applied-ms", ms(member.applied_at)),
+                ("report-ms", ms(member.report_at)),
+            ];
+            for (name, age) in ages {
+                e = age.map_or(e.clone(), |age| e.with_leaf(name, age));
+            }
+            state = state.with(e.with_leaf("waiting", member.waiting()));
+        }
+        for edit in self.desk.ledger.edits() {
+            let after = |at: Option<Duration>| at.map(|at| at.saturating_sub(edit.took.unwrap_or(at)).as_millis());
+            let mut e = Element::new(STATE, "edit")
+                .with_leaf("id", &edit.id)
+                .with_leaf("who", &edit.who)
+                .with_leaf("accepted", edit.accepted)
+                .with_leaf("state", edit.state());
+            for (name, after) in [("decided-ms", after(edit.decided)), ("in-force-ms", after(edit.in_force))] {
+                e = after.map_or(e.clone(), |after| e.with_leaf(name, after));
+            }
+            state = state.with(e.with_leaf("at", edit.at()).with_leaf("of", edit.of));
+        }
+        state
+    }
+
+    fn read_metrics(&mut self, turn: &mut Turn, conn: Conn, bytes: &[u8]) {
+        let Some(Peer::Reader(reader)) = self.peers.get_mut(&conn) else { return };
+        reader.push(bytes);
+        match reader.next_message() {
+            Ok(None) => return,
+            Ok(Some(query)) if query.path == "/metrics" => {
+                let text = self.metrics(turn);
+                let kind = [("content-type".to_string(), "text/plain; version=0.0.4".to_string())];
+                turn.write(conn, &write_answer(200, &kind, text.as_bytes()));
+            }
+            Ok(Some(_)) => turn.write(conn, &write_answer(404, &[], b"")),
+            Err(_) => turn.write(conn, &write_answer(400, &[], b"")),
+        }
+        turn.finish(conn);
+    }
+
+    fn metrics(&self, turn: &Turn) -> String {
+        metrics::with_local_recorder(&self.recorder.0, || {
+            let gauge = |name: &'static str, value: f64| metrics::gauge!(name).set(value);
+            gauge("runloom_proxies_joined", self.joined.len() as f64);
+            gauge("runloom_lines_waiting", self.driver.lines_waiting() as f64);
+            gauge("runloom_lines_waiting_most", self.driver.most_waiting as f64);
+            metrics::counter!("runloom_lines_sent_total").absolute(self.driver.lines_sent);
+            metrics::counter!("runloom_messages_sent_total").absolute(self.driver.messages_sent);
+            gauge("runloom_turn_seconds_p99", turn.lengths.value_at_quantile(0.99) as f64 / 1e6);
+            gauge("runloom_turn_seconds_max", turn.lengths.max() as f64 / 1e6);
+            let standings = self.driver.listed().values().fold(BTreeMap::new(), |mut m: BTreeMap<_, f64>, s| {
+                *m.entry(*s).or_default() += 1.0;
+                m
+            });
+            for (standing, count) in standings {
+                metrics::gauge!("runloom_servers", "listed" => standing).set(count);
+            }
+        });
+        self.recorder.1.render()
+    }
+
+    pub fn call_home_security(&self) -> &Security {
+        &self.security
+    }
+}
+
+/// What was accepted before, if anything was; else what the settings say.
+fn open_desk(shelf: &Shelf, place: &Place) -> Result<Desk, Failed> {
+    let mut data = (*place.data).clone();
+    let mut ledger = Ledger::default();
+    if let Some(accepted) = shelf.read("accepted.xml")? {
+        // A confirmed commit that a restart left unconfirmed is taken back (RFC 6241, section 8.4.1).
+        let before = accepted.child("before").and_then(|b| b.child("fleet"));
+        if let Some(fleet) = before.or_else(|| accepted.child("fleet")) {
+            data.children.retain(|c| c.name != "fleet");
+            data.children.insert(0, Arc::new(fleet.clone()));
+        }
+        if before.is_some() {
+            tracing::warn!("a confirmed commit was never confirmed: back to what stood before");
+        }
+        ledger = accepted.child("ledger").map(Ledger::read).unwrap_or_default();
+    }
+    if let Some(roster) = shelf.read("roster.xml")? {
+        data.children.retain(|c| c.name != "roster");
+        data.children.push(Arc::new(roster));
+    }
+    Desk::new(Arc::new(data), ledger).map_err(Failed::Data)
+}
--- a/netconf/src/service.rs
+++ b/netconf/src/service.rs
@@ -480,7 +480,7 @@
             let error = RpcError::protocol(Tag::MissingElement, "<config> is missing");
             return Err(one(error.with("bad-element", "config")));
         };
-        let text = if edit_id.is_some() { operation.to_text() } else { String::new() };
+        let text = operation.to_text();
         if target == "running" && again(edit_id, &text, host)? {
             return ok();
         }
@@ -541,7 +541,7 @@
             self.candidate = Some(wanted);
             return ok();
         }
-        let text = if edit_id.is_some() { operation.to_text() } else { String::new() };
+        let text = operation.to_text();
         if again(edit_id, &text, host)? {
             return ok();
         }
@@ -576,8 +576,8 @@
         }
         // What the candidate would change is the content: a commit sent again finds nothing left to change.
         let text = match &self.candidate {
-            Some(candidate) if edit_id.is_some() => candidate.to_text(),
-            _ => String::new(),
+            Some(candidate) => candidate.to_text(),
+            None => String::new(),
         };
         if let (Some(id), true) = (edit_id, self.candidate.is_none()) {
             if host.known(id, "") != Known::New {
