--- a/daemon/src/client.rs
+++ b/daemon/src/client.rs
@@ -66,7 +66,9 @@
                             found = found.or_else(|| wanted(&heard));
                         }
                     }
-                    Happened::Closed { why, .. } if found.is_none() => return Err(Failed::Ended(format!("{why:?}"))),
+                    Happened::Closed { why, .. } if found.is_none() => {
+                        return Err(Failed::Ended(format!("{why:?}")))
+                    }
                     _ => {}
                 }
             }
--- a/daemon/src/desk.rs
+++ b/daemon/src/desk.rs
@@ -142,7 +142,8 @@
 
     /// The roster's entries of a datastore; only those that changed are judged and read.
     fn entries(&self, data: &Element) -> Result<Entries, Vec<RpcError>> {
-        let (mut listed, mut read, mut changed) = (BTreeMap::new(), BTreeMap::new(), Element::new(FLEET, "roster"));
+        let (mut listed, mut read, mut changed) =
+            (BTreeMap::new(), BTreeMap::new(), Element::new(FLEET, "roster"));
         for e in top(data, "roster").map(|r| r.children.as_slice()).unwrap_or_default() {
             let name = e.text_of("name").unwrap_or_default();
             let old = self.read.get(name).filter(|old| Arc::ptr_eq(old, e)).and(self.listed.get(name));
@@ -166,7 +167,9 @@
         let faults = self.judge.faults(&part.to_text());
         let error = |f: &runloom_model::schema::Fault| {
             let path = format!("/{}//{}", part.name, f.element);
-            RpcError::application(Tag::InvalidValue, f.reason.clone()).at(path).with("bad-element", f.element.clone())
+            RpcError::application(Tag::InvalidValue, f.reason.clone())
+                .at(path)
+                .with("bad-element", f.element.clone())
         };
         if faults.is_empty() {
             Ok(())
@@ -177,7 +180,9 @@
 
     fn judged(&self, wanted: &Arc<Element>) -> Result<(Fleet, Entries), Vec<RpcError>> {
         let Some(part) = top(wanted, "fleet") else {
-            return Err(vec![RpcError::application(Tag::DataMissing, "there must be a <fleet>").at("/fleet")]);
+            return Err(
+                vec![RpcError::application(Tag::DataMissing, "there must be a <fleet>").at("/fleet")],
+            );
         };
         let fleet = if same(wanted, &self.data, "fleet") {
             self.fleet.clone()
@@ -225,7 +230,8 @@
             // Going back to what was accepted before is never refused: it is on disk already.
             let back = change.content.is_empty() && change.edit_id.is_none();
             if let Some(why) = self.refuses.as_ref().filter(|_| !back) {
-                let error = RpcError::application(Tag::ResourceDenied, format!("edits cannot be kept: {why}"));
+                let error =
+                    RpcError::application(Tag::ResourceDenied, format!("edits cannot be kept: {why}"));
                 return Err(vec![error.app("not-durable")]);
             }
         }
--- a/daemon/src/forwarder.rs
+++ b/daemon/src/forwarder.rs
@@ -104,6 +104,7 @@
 
 struct Stream {
     conn: Conn,
+    planner: SocketAddr,
     session: Session,
     id: u32,
 }
@@ -142,8 +143,7 @@
     /// Edits taken since a host asked: lines.
     pub taken: Vec<usize>,
     /// Reads nothing that a planner sends, for days on which that happens.
-    pub deaf: bool,
-    /// What the standing lines named, for the first orders.
+    deaf: bool,
     pub stopping: bool,
 }
 
@@ -221,6 +221,19 @@
         self.stream.as_ref().is_some_and(|s| s.session.is_open())
     }
 
+    /// The planner that it is joined to.
+    pub fn planner(&self) -> Option<SocketAddr> {
+        self.stream.as_ref().filter(|s| s.session.is_open()).map(|s| s.planner)
+    }
+
+    /// Reads nothing of its stream, or reads again.
+    pub fn set_deaf(&mut self, turn: &mut Turn, deaf: bool) {
+        self.deaf = deaf;
+        if let Some(stream) = self.stream.as_ref().filter(|_| !deaf) {
+            turn.hold(stream.conn, false);
+        }
+    }
+
     /// Breaks its stream, for days on which that happens.
     pub fn break_stream(&mut self, turn: &mut Turn) {
         if let Some(stream) = self.stream.take() {
@@ -230,7 +243,8 @@
     }
 
     pub fn wakes_at(&self) -> Option<Duration> {
-        let dial = (self.stream.is_none() && self.dialling.is_none() && !self.stopping).then_some(self.dial_at);
+        let dial =
+            (self.stream.is_none() && self.dialling.is_none() && !self.stopping).then_some(self.dial_at);
         let limit = self.limits.first().map(|(at, _)| *at);
         let connecting = self.upstreams.values().filter(|u| !u.open).map(|u| u.dialled + CONNECT).min();
         earliest([dial, limit, connecting, Some(self.report_at)])
@@ -263,7 +277,8 @@
                 return self.redial(turn.now());
             };
             let session = Session::new(Role::Server { id }, &CAPABILITIES, SessionBounds::default());
-            self.stream = Some(Stream { conn, session, id });
+            let planner = self.stand.planners[self.next_planner % self.stand.planners.len()];
+            self.stream = Some(Stream { conn, planner, session, id });
             // What was met while nobody listened is old by now.
             self.proxy.report(Duration::ZERO);
             self.reported = turn.now();
@@ -352,12 +367,14 @@
         let conn = match pooled {
             Some(conn) => conn,
             None => {
-                let bounds = Bounds { idle: Some(Duration::from_secs(15)), handshake: CONNECT, ..Bounds::default() };
+                let bounds =
+                    Bounds { idle: Some(Duration::from_secs(15)), handshake: CONNECT, ..Bounds::default() };
                 match turn.dial(address, &Security::Plain, bounds) {
                     Ok(conn) => {
                         let reader = Reader::answers();
                         let dialled = turn.now();
-                        self.upstreams.insert(conn, Upstream { address, reader, query: None, open: false, dialled });
+                        self.upstreams
+                            .insert(conn, Upstream { address, reader, query: None, open: false, dialled });
                         self.made.push(conn);
                         conn
                     }
@@ -506,7 +523,7 @@
 
     fn redial(&mut self, now: Duration) {
         let (least, most) = (REDIAL.0.as_millis() as u64, REDIAL.1.as_millis() as u64);
-        // The first planner again at once on a break, the next after a refusal.
+        // The next in the list, whether the last one broke off or never answered.
         self.next_planner += 1;
         self.dial_at = now + Duration::from_millis(self.chance.generate_range(least..=most));
     }
@@ -560,7 +577,8 @@
         let answer = self.service.handle(turn.now(), stream.id, &rpc, &mut self.store);
         stream.session.reply(&rpc, answer.content);
         if let Some(held) = self.store.held.take() {
-            let lines = rpc.operation().child("config").and_then(|c| c.child("tables")).map_or(0, count_lines);
+            let lines =
+                rpc.operation().child("config").and_then(|c| c.child("tables")).map_or(0, count_lines);
             self.taken.push(lines);
             self.proxy.hold(held);
         }
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -36,7 +36,11 @@
     /// Numbers in a header, separated by commas; what is none reads as NaN.
     pub fn numbers(&self, name: &str) -> Vec<f64> {
         let text = self.header(name).unwrap_or_default();
-        text.split(',').filter(|t| !t.is_empty()).take(4).map(|t| t.trim().parse().unwrap_or(f64::NAN)).collect()
+        text.split(',')
+            .filter(|t| !t.is_empty())
+            .take(4)
+            .map(|t| t.trim().parse().unwrap_or(f64::NAN))
+            .collect()
     }
 }
 
@@ -109,7 +113,8 @@
 }
 
 fn named(headers: &[httparse::Header]) -> Vec<(String, String)> {
-    let text = |h: &httparse::Header| (h.name.to_ascii_lowercase(), String::from_utf8_lossy(h.value).into_owned());
+    let text =
+        |h: &httparse::Header| (h.name.to_ascii_lowercase(), String::from_utf8_lossy(h.value).into_owned());
     headers.iter().map(text).collect()
 }
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -2,16 +2,13 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use runloom_daemon::client::{edit_config, Client};
-use runloom_daemon::forwarder::Forwarder;
 use runloom_daemon::papers::Terms;
-use runloom_daemon::planner::Planner;
-use runloom_daemon::settings::{read, Settings};
-use runloom_daemon::wall_ms;
+use runloom_daemon::settings::read;
+use runloom_daemon::{run, wall_ms};
 use runloom_model::fleet::Papers;
 use runloom_model::{FLEET, STATE};
 use runloom_netconf::tree::Element;
 use runloom_netconf::{BASE, NOTIFY};
-use runloom_turn::Turn;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -124,8 +121,8 @@
         Log::Text => log.with_ansi(false).init(),
     }
     let outcome = match line.command {
-        Command::Planner { settings, seed } => planner(&settings, seed),
-        Command::Forwarder { settings, seed } => forwarder(&settings, seed),
+        Command::Planner { settings, seed } => run::planner(&settings, seed),
+        Command::Forwarder { settings, seed } => run::forwarder(&settings, seed),
         Command::Check { files } => return check(&files),
         Command::Edit { to, id, file, drain, undrain, share, wait } => {
             change(file.as_deref(), drain.as_deref(), undrain.as_deref(), share.as_deref())
@@ -156,40 +153,6 @@
     ExitCode::from(u8::from(bad))
 }
 
-fn looped() -> Result<Turn, String> {
-    let mut turn = Turn::new().map_err(|e| e.to_string())?;
-    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
-        turn.signal(signal).map_err(|e| e.to_string())?;
-    }
-    Ok(turn)
-}
-
-fn planner(settings: &Path, seed: Option<u64>) -> Result<(), String> {
-    let Settings::Planner(place) = read(settings).map_err(|f| f.join("\n"))? else {
-        return Err(format!("{}: <planner> is wanted here", settings.display()));
-    };
-    let mut turn = looped()?;
-    let seed = seed.unwrap_or_else(wall_ms);
-    let (mut planner, at) = Planner::start(&mut turn, &place, seed).map_err(|e| e.to_string())?;
-    println!("edits {}", at.edits);
-    println!("home {}", at.home);
-    if let Some(metrics) = at.metrics {
-        println!("metrics {metrics}");
-    }
-    planner.run(&mut turn).map_err(|e| e.to_string())
-}
-
-fn forwarder(settings: &Path, seed: Option<u64>) -> Result<(), String> {
-    let Settings::Forwarder(stand) = read(settings).map_err(|f| f.join("\n"))? else {
-        return Err(format!("{}: <forwarder> is wanted here", settings.display()));
-    };
-    let mut turn = looped()?;
-    let seed = seed.unwrap_or_else(wall_ms);
-    let (mut forwarder, at) = Forwarder::start(&mut turn, *stand, seed).map_err(|e| e.to_string())?;
-    println!("listen {at}");
-    forwarder.run(&mut turn).map_err(|e| e.to_string())
-}
-
 /// What `<config>` is to hold.
 fn change(
     file: Option<&Path>,
@@ -198,11 +161,13 @@
     share: Option<&str>,
 ) -> Result<Element, String> {
     let fleet = Element::new(FLEET, "fleet");
-    let server = |name: &str, drain| Element::new(FLEET, "server").with_leaf("name", name).with_leaf("drain", drain);
+    let server =
+        |name: &str, drain| Element::new(FLEET, "server").with_leaf("name", name).with_leaf("drain", drain);
     match (file, drain, undrain, share) {
         (Some(file), None, None, None) => {
             let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-            Element::parse(&text).map_err(|e| format!("{}:{}:{}: {}", file.display(), e.line, e.column, e.reason))
+            Element::parse(&text)
+                .map_err(|e| format!("{}:{}:{}: {}", file.display(), e.line, e.column, e.reason))
         }
         (None, Some(name), None, None) => Ok(fleet.with(server(name, true))),
         (None, None, Some(name), None) => Ok(fleet.with(server(name, false))),
--- a/daemon/src/planner.rs
+++ b/daemon/src/planner.rs
@@ -241,8 +241,10 @@
         };
         self.desk.met(who);
         tracing::info!(who = %who.name, session = id, "session opened");
-        let names: Vec<String> =
-            YANG.iter().map(|(n, v, _)| format!("urn:{}?module={n}&revision={v}", n.replace('-', ":"))).collect();
+        let names: Vec<String> = YANG
+            .iter()
+            .map(|(n, v, _)| format!("urn:{}?module={n}&revision={v}", n.replace('-', ":")))
+            .collect();
         let all: Vec<&str> = CAPABILITIES.into_iter().chain(names.iter().map(String::as_str)).collect();
         let session = Session::new(Role::Server { id }, &all, SessionBounds::default());
         self.peers.insert(conn, Peer::Staff(Box::new(Staff { id, session, closing: false })));
@@ -483,7 +485,9 @@
         self.list_dirty |= !changes.is_empty();
         self.seed = self.seed.wrapping_add(1);
         if self.driver.refit(self.desk.fleet().clone(), self.seed) {
-            tracing::warn!("new facts: the decisions start over, proxies keep their tables until bound again");
+            tracing::warn!(
+                "new facts: the decisions start over, proxies keep their tables until bound again"
+            );
             let all = self.roster.servers().iter().map(|(n, s)| (n.clone(), Change::Is(s.clone())));
             self.driver.list(Listing::Remembered, all.collect());
             for (proxy, conn) in &self.joined {
@@ -503,8 +507,10 @@
     fn patience(&mut self, turn: &mut Turn, now: Duration) {
         let patience = self.desk.fleet().grace.reply;
         let members = self.driver.members().iter();
-        let late: Vec<usize> =
-            members.filter(|(_, m)| m.oldest(now).is_some_and(|age| age >= patience)).map(|(p, _)| *p).collect();
+        let late: Vec<usize> = members
+            .filter(|(_, m)| m.oldest(now).is_some_and(|age| age >= patience))
+            .map(|(p, _)| *p)
+            .collect();
         for proxy in late {
             tracing::warn!(proxy = self.driver.proxy_name(proxy), "let go: it does not confirm its orders");
             if let Some(conn) = self.joined.get(&proxy).copied() {
@@ -536,7 +542,11 @@
             Deed::Probe { server, address } => {
                 let out = self.peers.values().filter(|p| matches!(p, Peer::Probe(_))).count();
                 let sent = turn.now();
-                let conn = if out < PROBES_MOST { turn.dial(address, &Security::Plain, Bounds::default()).ok() } else { None };
+                let conn = if out < PROBES_MOST {
+                    turn.dial(address, &Security::Plain, Bounds::default()).ok()
+                } else {
+                    None
+                };
                 match conn {
                     Some(conn) => {
                         let probe = Probe { server, sent, reader: Reader::answers() };
@@ -642,13 +652,15 @@
             state = state.with(e.with_leaf("waiting", member.waiting()));
         }
         for edit in self.desk.ledger.edits() {
-            let after = |at: Option<Duration>| at.map(|at| at.saturating_sub(edit.took.unwrap_or(at)).as_millis());
+            let after =
+                |at: Option<Duration>| at.map(|at| at.saturating_sub(edit.took.unwrap_or(at)).as_millis());
             let mut e = Element::new(STATE, "edit")
                 .with_leaf("id", &edit.id)
                 .with_leaf("who", &edit.who)
                 .with_leaf("accepted", edit.accepted)
                 .with_leaf("state", edit.state());
-            for (name, after) in [("decided-ms", after(edit.decided)), ("in-force-ms", after(edit.in_force))] {
+            for (name, after) in [("decided-ms", after(edit.decided)), ("in-force-ms", after(edit.in_force))]
+            {
                 e = after.map_or(e.clone(), |after| e.with_leaf(name, after));
             }
             state = state.with(e.with_leaf("at", edit.at()).with_leaf("of", edit.of));
@@ -682,10 +694,11 @@
             metrics::counter!("runloom_messages_sent_total").absolute(self.driver.messages_sent);
             gauge("runloom_turn_seconds_p99", turn.lengths.value_at_quantile(0.99) as f64 / 1e6);
             gauge("runloom_turn_seconds_max", turn.lengths.max() as f64 / 1e6);
-            let standings = self.driver.listed().values().fold(BTreeMap::new(), |mut m: BTreeMap<_, f64>, s| {
-                *m.entry(*s).or_default() += 1.0;
-                m
-            });
+            let standings =
+                self.driver.listed().values().fold(BTreeMap::new(), |mut m: BTreeMap<_, f64>, s| {
+                    *m.entry(*s).or_default() += 1.0;
+                    m
+                });
             for (standing, count) in standings {
                 metrics::gauge!("runloom_servers", "listed" => standing).set(count);
             }
--- /dev/null
+++ b/daemon/src/run.rs
@@ -0,0 +1,44 @@
+//! Starting a planner or a forwarder from its settings file, until a signal ends it.
+
+use crate::forwarder::Forwarder;
+use crate::planner::Planner;
+use crate::settings::{read, Settings};
+use crate::wall_ms;
+use runloom_turn::Turn;
+use std::path::Path;
+
+fn looped() -> Result<Turn, String> {
+    let mut turn = Turn::new().map_err(|e| e.to_string())?;
+    for signal in [signal_hook::consts::SIGTERM, signal_hook::consts::SIGINT] {
+        turn.signal(signal).map_err(|e| e.to_string())?;
+    }
+    Ok(turn)
+}
+
+/// Runs a planner; its addresses are told on standard output, a line each.
+pub fn planner(settings: &Path, seed: Option<u64>) -> Result<(), String> {
+    let Settings::Planner(place) = read(settings).map_err(|f| f.join("\n"))? else {
+        return Err(format!("{}: <planner> is wanted here", settings.display()));
+    };
+    let mut turn = looped()?;
+    let seed = seed.unwrap_or_else(wall_ms);
+    let (mut planner, at) = Planner::start(&mut turn, &place, seed).map_err(|e| e.to_string())?;
+    println!("edits {}", at.edits);
+    println!("home {}", at.home);
+    if let Some(metrics) = at.metrics {
+        println!("metrics {metrics}");
+    }
+    planner.run(&mut turn).map_err(|e| e.to_string())
+}
+
+/// Runs a forwarder; its address is told on standard output.
+pub fn forwarder(settings: &Path, seed: Option<u64>) -> Result<(), String> {
+    let Settings::Forwarder(stand) = read(settings).map_err(|f| f.join("\n"))? else {
+        return Err(format!("{}: <forwarder> is wanted here", settings.display()));
+    };
+    let mut turn = looped()?;
+    let seed = seed.unwrap_or_else(wall_ms);
+    let (mut forwarder, at) = Forwarder::start(&mut turn, *stand, seed).map_err(|e| e.to_string())?;
+    println!("listen {at}");
+    forwarder.run(&mut turn).map_err(|e| e.to_string())
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,9 @@
+//! Scripted days on loopback against stand-ins that this project writes itself.
+
+pub mod check;
+pub mod clients;
+pub mod day;
+pub mod issuer;
+pub mod servers;
+pub mod staff;
+pub mod world;
--- /dev/null
+++ b/rig/src/main.rs
@@ -0,0 +1,135 @@
+//! The rig's command line.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use runloom_rig::day;
+use runloom_rig::world::{Outcomes, World};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+#[derive(Parser)]
+#[command(
+    name = "runloom-rig",
+    version,
+    about = "Scripted days on loopback, and a checker of the five rules"
+)]
+struct Line {
+    #[arg(long, global = true, default_value = "warn")]
+    log_level: String,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Report {
+    Text,
+    Json,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// The main job in one command: a planner, forwarders, servers, clients, and a drain that an operator edits.
+    Demo,
+    /// Plays a scripted day: a file, or quiet, bad-day, edits-under-failure, restart-storm. Code 1 if a rule broke.
+    Day {
+        file: String,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// With json, the last line is one JSON object.
+        #[arg(long, value_enum, default_value_t = Report::Text)]
+        report: Report,
+        /// Keeps settings, logs and state here.
+        #[arg(long)]
+        keep: Option<PathBuf>,
+    },
+    /// A planner's process, for the rig's own use.
+    #[command(hide = true)]
+    Planner {
+        #[arg(long)]
+        settings: PathBuf,
+        #[arg(long)]
+        seed: u64,
+    },
+}
+
+fn main() -> ExitCode {
+    let line = Line::parse();
+    let level = if matches!(line.command, Command::Planner { .. }) { "info" } else { &line.log_level };
+    let filter = tracing_subscriber::EnvFilter::new(level);
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    let outcome = match line.command {
+        Command::Demo => play("demo", 1, Report::Text, None),
+        Command::Day { file, seed, report, keep } => play(&file, seed, report, keep),
+        Command::Planner { settings, seed } => {
+            runloom_daemon::run::planner(&settings, Some(seed)).map(|()| true)
+        }
+    };
+    match outcome {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(why) => {
+            eprintln!("runloom-rig: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn play(name: &str, seed: u64, report: Report, keep: Option<PathBuf>) -> Result<bool, String> {
+    let day = day::read(name)?;
+    let kept = keep.is_some();
+    let own = std::env::temp_dir().join(format!("runloom-rig-{}", std::process::id()));
+    let folder = keep.unwrap_or(own);
+    println!(
+        "{name}, seed {seed}: {} planners, {} forwarders, {} servers, {} queries/s, {} s",
+        day.planners,
+        day.forwarders,
+        day.servers,
+        day.rate,
+        day.lasts.as_secs_f64()
+    );
+    let edits = day.edits.len() * day.planners;
+    let outcome = World::new(day, seed, &folder).and_then(|mut world| world.play());
+    if !kept {
+        let _ = std::fs::remove_dir_all(&folder);
+    }
+    let outcome = outcome?;
+    told(&outcome);
+    let settled = outcome.edits.iter().filter(|e| e.in_force).count();
+    if report == Report::Json {
+        let json = serde_json::json!({
+            "queries": outcome.queries, "handled": outcome.handled, "doubled": outcome.doubled,
+            "rules_broken": outcome.broken, "lines": outcome.lines, "edits": edits,
+            "edits_in_force": settled, "service": outcome.service, "further_tries": outcome.further,
+            "messages": outcome.messages, "in_time": outcome.in_time, "fell_over": outcome.fell,
+            "lines_waiting_most": outcome.lines_waiting,
+        });
+        println!("{json}");
+    }
+    Ok(outcome.broken.is_empty() && outcome.doubled == 0)
+}
+
+fn told(o: &Outcomes) {
+    println!("queries {}  handled {}  within the soft limit {}", o.queries, o.handled, o.in_time);
+    println!("service {:.3}  p50 {} ms  p99 {} ms", o.service, o.took_p50, o.took_p99);
+    println!(
+        "further tries {}  over a level {}  without a line {}",
+        o.further, o.counts.over_level, o.counts.no_line
+    );
+    println!("refused or failed, by cause: {:?}", o.refused);
+    println!("messages {}  lines {}  lines waiting at the most {}", o.messages, o.lines, o.lines_waiting);
+    for e in &o.edits {
+        let accepted = e
+            .accepted
+            .map_or("-".into(), |at| format!("{:.0} ms", (at.saturating_sub(e.sent)).as_secs_f64() * 1e3));
+        let in_force = e.in_force_ms.map_or("-".into(), |ms| format!("{ms} ms"));
+        let refused = e.refused.as_deref().unwrap_or("");
+        println!(
+            "edit {}: accepted after {accepted} ({} sent), in force after {in_force} {refused}",
+            e.id, e.tries
+        );
+    }
+    println!("servers pushed over {}  checkouts doubled {}", o.fell, o.doubled);
+    match o.broken.as_slice() {
+        [] => println!("rules kept"),
+        broken => broken.iter().for_each(|b| println!("BROKEN {b}")),
+    }
+}
--- /dev/null
+++ b/rig/src/world.rs
@@ -0,0 +1,771 @@
+//! One day on loopback: planners as processes of their own, forwarders, servers and clients on one loop,
+//! feed and staff on threads.
+
+use crate::check::{broken, Arrival, Evidence, Limits, Look};
+use crate::clients::{Clients, CLASSES};
+use crate::day::{Day, Trouble};
+use crate::issuer::Issuer;
+use crate::servers::{Health, Servers, COLD_FROM};
+use crate::staff::{self, List, Outcome, Shared};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use runloom_daemon::forwarder::Forwarder;
+use runloom_daemon::papers::{PLANNER, PROXY};
+use runloom_daemon::wall_ms;
+use runloom_forward::Counts;
+use runloom_model::fleet::{Class, Listed, Papers, Repeats};
+use runloom_model::forwarder::Stand;
+use runloom_turn::{Conn, Happened, Turn, Why};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How often forwarders' tables are looked at.
+const LOOK: Duration = Duration::from_millis(100);
+/// Lines that may wait: the brief's "at least what it sends in two seconds".
+const LINES_PER_SECOND: u64 = 20_000;
+const BACKLOG: u64 = 40_000;
+
+/// A planner's process.
+pub struct Process {
+    child: Option<Child>,
+    settings: PathBuf,
+    pub edits: SocketAddr,
+    pub home: SocketAddr,
+    pub metrics: SocketAddr,
+}
+
+impl Process {
+    fn spawn(settings: &Path, seed: u64, log: &Path) -> Result<(Child, Vec<SocketAddr>), String> {
+        let own = std::env::current_exe().map_err(|e| e.to_string())?;
+        let file =
+            std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(|e| e.to_string())?;
+        let mut child = Command::new(own)
+            .args(["planner", "--settings"])
+            .arg(settings)
+            .args(["--seed", &seed.to_string()])
+            .stdout(Stdio::piped())
+            .stderr(file)
+            .spawn()
+            .map_err(|e| e.to_string())?;
+        let out = child.stdout.take().ok_or("no output")?;
+        let mut at = Vec::new();
+        for line in BufReader::new(out).lines().take(3) {
+            let line = line.map_err(|e| e.to_string())?;
+            at.extend(line.split(' ').nth(1).and_then(|a| a.parse::<SocketAddr>().ok()));
+        }
+        if at.len() < 3 {
+            let _ = child.kill();
+            let _ = child.wait();
+            return Err(format!("the planner did not start: see {}", log.display()));
+        }
+        Ok((child, at))
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What a day came to.
+#[derive(Debug, Clone)]
+pub struct Outcomes {
+    pub queries: u64,
+    pub handled: u64,
+    pub in_time: u64,
+    pub service: f64,
+    pub doubled: usize,
+    pub broken: Vec<String>,
+    pub further: u64,
+    pub lines: u64,
+    pub messages: u64,
+    pub edits: Vec<Outcome>,
+    pub refused: BTreeMap<String, u64>,
+    pub counts: Counts,
+    pub fell: usize,
+    pub took_p50: u32,
+    pub took_p99: u32,
+    pub lines_waiting: u64,
+    pub metrics: BTreeMap<String, f64>,
+}
+
+struct Held {
+    forwarder: Forwarder,
+    joined: Option<(Duration, usize)>,
+    joins: usize,
+}
+
+pub struct World {
+    pub turn: Turn,
+    day: Day,
+    chance: StdRng,
+    seed: u64,
+    folder: PathBuf,
+    pub planners: Vec<Process>,
+    servers: Servers,
+    clients: Clients,
+    forwarders: Vec<Held>,
+    owner: BTreeMap<Conn, usize>,
+    shared: Arc<Shared>,
+    start: Instant,
+    /// How the servers are listed in truth; servers that a lying list leaves out.
+    draining: BTreeSet<String>,
+    gone: BTreeSet<String>,
+    lied: BTreeSet<String>,
+    noticed: BTreeMap<String, bool>,
+    agenda: Vec<(Duration, What)>,
+    evidence: Evidence,
+    lines: u64,
+    staff: Papers,
+    feed: Papers,
+    threads: Vec<std::thread::JoinHandle<()>>,
+    zero: Duration,
+}
+
+enum What {
+    Trouble(Trouble),
+    Edit(crate::day::Edit),
+    Start(Vec<usize>),
+    Heal(Vec<usize>),
+    Remove(Vec<usize>),
+    Truth(BTreeSet<String>),
+    FeedBack,
+    PlannerBack(usize),
+    Hear(Vec<usize>),
+    Calm,
+}
+
+fn ms(n: Duration) -> u128 {
+    n.as_millis()
+}
+
+fn class_xml(c: &(&str, f64, u64, u64, &str, f64)) -> String {
+    format!(
+        "<class><name>{}</name><payoff>{}</payoff><soft-limit-ms>{}</soft-limit-ms><outer-limit-ms>{}</outer-limit-ms>\
+         <repeats>{}</repeats></class>",
+        c.0, c.1, c.2, c.3, c.4
+    )
+}
+
+impl World {
+    pub fn new(day: Day, seed: u64, folder: &Path) -> Result<World, String> {
+        let told = |e: std::io::Error| e.to_string();
+        let issuer = Issuer::new(&folder.join("papers"))?;
+        let mut turn = Turn::new().map_err(told)?;
+        let mut servers = Servers::new(day.work, day.cores, day.warm);
+        for k in 0..day.servers {
+            servers.add(&mut turn, &format!("z{}", k % day.zones), false).map_err(told)?;
+        }
+        let (staff, feed) = (issuer.issue("staff", None)?, issuer.issue("feed", None)?);
+        let mut world = World {
+            chance: StdRng::seed_from_u64(seed),
+            seed,
+            folder: folder.to_path_buf(),
+            planners: vec![],
+            clients: Clients::new(vec![], day.rate),
+            servers,
+            forwarders: vec![],
+            owner: BTreeMap::new(),
+            shared: Arc::new(Shared::default()),
+            start: Instant::now(),
+            draining: BTreeSet::new(),
+            gone: BTreeSet::new(),
+            lied: BTreeSet::new(),
+            noticed: BTreeMap::new(),
+            agenda: vec![],
+            evidence: Evidence::default(),
+            lines: 0,
+            staff,
+            feed,
+            threads: vec![],
+            zero: turn.now(),
+            turn,
+            day,
+        };
+        for planner in 0..world.day.planners {
+            world.start_planner(&issuer, planner)?;
+        }
+        world.start_forwarders(&issuer)?;
+        let (now, list) = (Duration::ZERO, world.list());
+        world.shared.lists.lock().unwrap_or_else(|e| e.into_inner()).push((now, list));
+        for (k, planner) in world.planners.iter().enumerate() {
+            world.threads.push(staff::feed(
+                k,
+                planner.edits,
+                world.feed.clone(),
+                world.shared.clone(),
+                world.start,
+            ));
+        }
+        Ok(world)
+    }
+
+    fn start_planner(&mut self, issuer: &Issuer, planner: usize) -> Result<(), String> {
+        let papers = issuer.issue(&format!("planner-{planner}"), Some(PLANNER))?;
+        let settings = self.folder.join(format!("planner-{planner}.xml"));
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let write = |at: [SocketAddr; 3]| {
+            std::fs::write(&settings, self.planner_xml(planner, &papers, at)).map_err(|e| e.to_string())
+        };
+        write([any; 3])?;
+        let log = self.folder.join(format!("planner-{planner}.log"));
+        let (child, at) = Process::spawn(&settings, self.seed, &log)?;
+        // A restart must be found where the first start was.
+        write([at[0], at[1], at[2]])?;
+        let (edits, home, metrics) = (at[0], at[1], at[2]);
+        self.planners.push(Process { child: Some(child), settings, edits, home, metrics });
+        Ok(())
+    }
+
+    fn planner_xml(&self, planner: usize, papers: &Papers, at: [SocketAddr; 3]) -> String {
+        let d = &self.day;
+        let zones: String = (0..d.zones).map(|z| format!("<zone><name>z{z}</name></zone>")).collect();
+        let classes: String = CLASSES.iter().map(class_xml).collect();
+        let listed: String = self.list().iter().map(|(name, l)| l.element(name).to_text()).collect();
+        let folder = self.folder.join(format!("state-{planner}"));
+        format!(
+            "<planner xmlns=\"urn:runloom:fleet\">\n<name>planner-{planner}</name><edits>{}</edits><home>{}</home>\
+             <metrics>{}</metrics><folder>{}</folder>\n{}\n<fleet>{zones}{classes}\n<grace><drain-ms>{}</drain-ms>\
+             <bare-ms>{}</bare-ms><reply-ms>1500</reply-ms></grace>\n<channel><lines-per-second>{LINES_PER_SECOND}\
+             </lines-per-second><backlog>{BACKLOG}</backlog><overhead>4</overhead></channel>\n<cold><from>{COLD_FROM}\
+             </from><warm-after-ms>{}</warm-after-ms></cold>\n<proxies><count>{}</count><planners>{}</planners><pick>{}\
+             </pick><levels>{}</levels><probes>true</probes><report-ms>500</report-ms>\
+             <report-lines-per-second>2000</report-lines-per-second></proxies>\n<list><only-drains-bind>{}\
+             </only-drains-bind><load>held</load></list></fleet>\n<roster>{listed}</roster></planner>\n",
+            at[0],
+            at[1],
+            at[2],
+            folder.display(),
+            tls_xml(papers),
+            ms(d.drain),
+            ms(d.bare),
+            ms(d.warm),
+            d.forwarders,
+            d.planners,
+            d.pick,
+            d.levels,
+            d.only_drains_bind
+        )
+    }
+
+    fn start_forwarders(&mut self, issuer: &Issuer) -> Result<(), String> {
+        let repeats = |word: &str| if word == "safe" { Repeats::Safe } else { Repeats::Never };
+        let class = |c: &(&str, f64, u64, u64, &str, f64)| Class {
+            name: c.0.into(),
+            payoff: c.1,
+            soft_limit: Duration::from_millis(c.2),
+            outer_limit: Duration::from_millis(c.3),
+            repeats: repeats(c.4),
+        };
+        let mut listens = Vec::new();
+        for f in 0..self.day.forwarders {
+            let name = format!("f{f}");
+            let mut homes: Vec<SocketAddr> = self.planners.iter().map(|p| p.home).collect();
+            let count = homes.len();
+            homes.rotate_left(f % count);
+            // A few servers of its own zone, as a process finds them in its start-up files.
+            let zone = format!("z{}", f % self.day.zones);
+            let near = self.servers.all.iter().filter(|s| s.zone == zone).take(6);
+            let stand = Stand {
+                papers: issuer.issue(&name, Some(PROXY))?,
+                name,
+                standing: near.map(|s| (s.name.clone(), s.address)).collect(),
+                zone,
+                listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+                planners: homes,
+                pick: self.day.pick.clone(),
+                shun_after: 3,
+                shun_for: Duration::from_secs(4),
+                report: Duration::from_millis(500),
+                classes: CLASSES.iter().map(class).collect(),
+            };
+            let seed = self.seed ^ (f as u64 + 1).wrapping_mul(0x9e37_79b9);
+            let (forwarder, at) = Forwarder::start(&mut self.turn, stand, seed).map_err(|e| e.to_string())?;
+            listens.push(at);
+            self.forwarders.push(Held { forwarder, joined: None, joins: 0 });
+            self.own(f);
+        }
+        self.clients = Clients::new(listens, self.day.rate);
+        Ok(())
+    }
+
+    fn own(&mut self, f: usize) {
+        for conn in std::mem::take(&mut self.forwarders[f].forwarder.made) {
+            self.owner.insert(conn, f);
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.turn.now().saturating_sub(self.zero)
+    }
+
+    /// The list as the feed has it now.
+    fn list(&self) -> List {
+        let mut list = List::new();
+        for s in &self.servers.all {
+            if self.gone.contains(&s.name) || self.lied.contains(&s.name) {
+                continue;
+            }
+            // What the feed knows of processes; silence it notices late, hanging never.
+            if !self.noticed.get(&s.name).copied().unwrap_or(true) {
+                continue;
+            }
+            let age = self.turn.now().saturating_sub(s.started).as_millis() as u64;
+            let listed = Listed {
+                address: s.address,
+                zone: s.zone.clone(),
+                kind: "std".into(),
+                cell: 0,
+                draining: self.draining.contains(&s.name),
+                weight: 1.0,
+                started: s.cold.then(|| (wall_ms() - age) / 1000 * 1000),
+            };
+            list.insert(s.name.clone(), listed);
+        }
+        list
+    }
+
+    /// The list changed: the feed tells of it late.
+    fn relist(&mut self) {
+        let (from, mut list) = (self.start.elapsed() + self.day.feed_late, self.list());
+        let mut lists = self.shared.lists.lock().unwrap_or_else(|e| e.into_inner());
+        // A start is told as it was told first: reckoned anew it would be off by the rounding.
+        if let Some((_, last)) = lists.last() {
+            for (name, listed) in &mut list {
+                let old = last.get(name).and_then(|l| l.started);
+                let near = |a: u64, b: u64| a.abs_diff(b) <= 1000;
+                if let (Some(old), Some(new)) = (old, listed.started) {
+                    listed.started = Some(if near(old, new) { old } else { new });
+                }
+            }
+        }
+        lists.push((from, list));
+    }
+
+    /// Some servers that are well, drawn by chance, in any zone.
+    fn draw(&mut self, count: usize) -> Vec<usize> {
+        let fine = |k: &usize| {
+            let s = &self.servers.all[*k];
+            let named =
+                self.draining.contains(&s.name) || self.gone.contains(&s.name) || self.lied.contains(&s.name);
+            self.servers.is_up(*k) && s.health == Health::Well && s.slow <= 1.0 && !named
+        };
+        let mut well: Vec<usize> = (0..self.servers.all.len()).filter(fine).collect();
+        let mut drawn = Vec::new();
+        while drawn.len() < count && !well.is_empty() {
+            drawn.push(well.swap_remove(self.chance.random_range(0..well.len())));
+        }
+        drawn
+    }
+
+    fn later(&mut self, after: Duration, what: What) {
+        self.agenda.push((self.now() + after, what));
+    }
+
+    fn notice(&mut self, ids: &[usize], there: bool) {
+        for id in ids {
+            self.noticed.insert(self.servers.all[*id].name.clone(), there);
+        }
+        self.relist();
+    }
+
+    fn trouble(&mut self, t: &Trouble) -> Result<(), String> {
+        match t.kind.as_str() {
+            "crash" => {
+                let ids = self.draw(t.count);
+                ids.iter().for_each(|id| self.servers.stop(&mut self.turn, *id));
+                self.notice(&ids, false);
+                self.later(t.lasts, What::Start(ids));
+            }
+            "hang" | "silent" | "errors" => {
+                let ids = self.draw(t.count);
+                let health = match t.kind.as_str() {
+                    "hang" => Health::Hangs,
+                    "silent" => Health::Silent,
+                    _ => Health::Fails(t.size),
+                };
+                ids.iter().for_each(|id| self.servers.all[*id].health = health);
+                self.later(t.lasts, What::Heal(ids));
+            }
+            "slow" | "costly" => {
+                let ids: Vec<usize> =
+                    if t.kind == "slow" { self.draw(t.count) } else { (0..self.servers.all.len()).collect() };
+                for id in &ids {
+                    let server = &mut self.servers.all[*id];
+                    *(if t.kind == "slow" { &mut server.slow } else { &mut server.costly }) = t.size;
+                }
+                self.later(t.lasts, What::Heal(ids));
+            }
+            "drain" | "replace" => {
+                let ids = self.draw(t.count);
+                ids.iter().for_each(|id| _ = self.draining.insert(self.servers.all[*id].name.clone()));
+                if t.kind == "replace" {
+                    for id in &ids {
+                        let zone = self.servers.all[*id].zone.clone();
+                        self.servers.add(&mut self.turn, &zone, true).map_err(|e| e.to_string())?;
+                    }
+                }
+                self.relist();
+                self.later(t.lasts, What::Remove(ids));
+            }
+            "lie-gone" => {
+                let names: BTreeSet<String> =
+                    self.draw(t.count).into_iter().map(|id| self.servers.all[id].name.clone()).collect();
+                self.lied.extend(names.iter().cloned());
+                self.relist();
+                self.later(t.lasts, What::Truth(names));
+            }
+            "feed-cut" => {
+                self.shared.cut.store(true, Ordering::Relaxed);
+                self.later(t.lasts, What::FeedBack);
+            }
+            "planner-kill" => {
+                let planner = self.chance.random_range(0..self.planners.len());
+                self.planners[planner].kill();
+                self.later(t.lasts, What::PlannerBack(planner));
+            }
+            "stream-break" => {
+                for f in 0..t.count.min(self.forwarders.len()) {
+                    self.forwarders[f].forwarder.break_stream(&mut self.turn);
+                }
+            }
+            "deaf" => {
+                let ids: Vec<usize> = (0..t.count.min(self.forwarders.len())).collect();
+                ids.iter().for_each(|f| self.forwarders[*f].forwarder.set_deaf(&mut self.turn, true));
+                self.later(t.lasts, What::Hear(ids));
+            }
+            "surge" => {
+                self.clients.surge = t.size;
+                self.later(t.lasts, What::Calm);
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn act(&mut self, what: What) -> Result<(), String> {
+        match what {
+            What::Trouble(t) => {
+                tracing::info!(at = self.now().as_secs_f64(), kind = %t.kind, "trouble");
+                self.trouble(&t)?;
+            }
+            What::Edit(edit) => {
+                let at = self.planners.iter().map(|p| p.edits).collect();
+                self.threads.push(staff::edit(at, self.staff.clone(), edit, self.shared.clone(), self.start));
+            }
+            What::Start(ids) => {
+                for id in &ids {
+                    self.servers.start(&mut self.turn, *id).map_err(|e| e.to_string())?;
+                }
+                self.notice(&ids, true);
+            }
+            What::Heal(ids) => {
+                let silent: Vec<usize> =
+                    ids.iter().copied().filter(|id| self.servers.all[*id].health == Health::Silent).collect();
+                for id in ids {
+                    let server = &mut self.servers.all[id];
+                    (server.health, server.slow, server.costly) = (Health::Well, 1.0, 1.0);
+                }
+                // A silent machine comes back cold, as a new process.
+                for id in &silent {
+                    self.servers.stop(&mut self.turn, *id);
+                    self.servers.start(&mut self.turn, *id).map_err(|e| e.to_string())?;
+                }
+                self.relist();
+            }
+            What::Remove(ids) => {
+                for id in ids {
+                    self.gone.insert(self.servers.all[id].name.clone());
+                    self.servers.stop(&mut self.turn, id);
+                }
+                self.relist();
+            }
+            What::Truth(names) => {
+                self.lied.retain(|n| !names.contains(n));
+                self.relist();
+            }
+            What::FeedBack => self.shared.cut.store(false, Ordering::Relaxed),
+            What::PlannerBack(planner) => {
+                let log = self.folder.join(format!("planner-{planner}.log"));
+                let settings = self.planners[planner].settings.clone();
+                self.seed += 1;
+                let (child, _) = Process::spawn(&settings, self.seed, &log)?;
+                self.planners[planner].child = Some(child);
+            }
+            What::Hear(ids) => {
+                ids.iter().for_each(|f| self.forwarders[*f].forwarder.set_deaf(&mut self.turn, false));
+            }
+            What::Calm => self.clients.surge = 1.0,
+        }
+        Ok(())
+    }
+
+    /// Plays the day.
+    pub fn play(&mut self) -> Result<Outcomes, String> {
+        self.settle_in()?;
+        self.zero = self.turn.now();
+        let shift = self.start.elapsed();
+        let day = self.day.clone();
+        self.agenda.extend(day.troubles.into_iter().map(|t| (t.at, What::Trouble(t))));
+        self.agenda.extend(day.edits.into_iter().map(|e| (e.at, What::Edit(e))));
+        self.clients.begin(self.turn.now());
+        let mut next_look = Duration::ZERO;
+        // The last queries are waited for, and the last edits too, for some seconds.
+        let end = day.lasts + Duration::from_secs(5);
+        while self.now() < end {
+            let now = self.now();
+            if now >= day.lasts {
+                self.clients.asking = false;
+            }
+            while let Some(k) = self.agenda.iter().position(|(at, _)| *at <= now) {
+                let (_, what) = self.agenda.swap_remove(k);
+                self.act(what)?;
+            }
+            if now >= next_look {
+                next_look = now + LOOK;
+                self.look(now);
+            }
+            let next = self.agenda.iter().map(|(at, _)| *at).min().unwrap_or(end).min(next_look);
+            self.one_turn(self.zero + next)?;
+        }
+        Ok(self.close(shift))
+    }
+
+    /// Until all forwarders are joined and ordered, for a minute at the most.
+    fn settle_in(&mut self) -> Result<(), String> {
+        let end = self.turn.now() + Duration::from_secs(60);
+        let ordered = |h: &Held| h.forwarder.proxy().held().ordered;
+        while !self.forwarders.iter().all(ordered) {
+            if self.turn.now() > end {
+                return Err("the forwarders were not ordered within a minute".into());
+            }
+            let until = self.turn.now() + LOOK;
+            self.one_turn(until)?;
+        }
+        Ok(())
+    }
+
+    fn one_turn(&mut self, until: Duration) -> Result<(), String> {
+        let forwarders = self.forwarders.iter().filter_map(|h| h.forwarder.wakes_at()).min();
+        let wakes = [self.servers.wakes_at(), self.clients.wakes_at(), forwarders, Some(until)];
+        let due = wakes.into_iter().flatten().min();
+        for h in self.turn.wait(due).map_err(|e| e.to_string())? {
+            self.route(h);
+        }
+        self.servers.turned(&mut self.turn, &mut self.chance);
+        self.clients.turned(&mut self.turn, &mut self.chance);
+        for f in 0..self.forwarders.len() {
+            self.forwarders[f].forwarder.turned(&mut self.turn);
+            self.own(f);
+            self.note(f);
+        }
+        Ok(())
+    }
+
+    /// What a forwarder was told, and whether it is joined.
+    fn note(&mut self, f: usize) {
+        let now = self.now();
+        let held = &mut self.forwarders[f];
+        for lines in std::mem::take(&mut held.forwarder.taken) {
+            self.lines += lines as u64;
+            self.evidence.messages.entry(f).or_default().push(now);
+        }
+        let home = held.forwarder.planner();
+        let joined = home.and_then(|at| self.planners.iter().position(|p| p.home == at));
+        if joined != held.joined.map(|j| j.1) {
+            held.joined = joined.map(|planner| (now, planner));
+            held.joins += usize::from(joined.is_some());
+        }
+    }
+
+    fn route(&mut self, happened: Happened) {
+        let conn = match &happened {
+            Happened::Open { conn, listener, .. } => {
+                let listener = listener.unwrap_or(*conn);
+                if self.servers.owns(listener) {
+                    return self.servers.opened(&mut self.turn, *conn, listener);
+                }
+                listener
+            }
+            Happened::Bytes { conn, .. } | Happened::Closed { conn, .. } => *conn,
+            Happened::Signal(_) => return,
+        };
+        if let Some(f) = self.owner.get(&conn).copied() {
+            if let Happened::Closed { conn, .. } = &happened {
+                self.owner.remove(conn);
+            }
+            self.forwarders[f].forwarder.happened(&mut self.turn, happened);
+            self.own(f);
+        } else if self.servers.owns(conn) {
+            match happened {
+                Happened::Bytes { conn, bytes } => {
+                    self.servers.bytes(&mut self.turn, conn, &bytes, &mut self.chance);
+                    self.arrivals();
+                }
+                Happened::Closed { conn, .. } => self.servers.closed(conn),
+                _ => {}
+            }
+        } else if self.clients.owns(conn) {
+            match happened {
+                Happened::Bytes { conn, bytes } => self.clients.bytes(&mut self.turn, conn, &bytes),
+                Happened::Closed { conn, why } if why != Why::Finished => {
+                    self.clients.closed(&mut self.turn, conn)
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// What servers were sent since, with whom the forwarder was joined to then.
+    fn arrivals(&mut self) {
+        let zero = self.zero;
+        for server in &mut self.servers.all {
+            for sent in std::mem::take(&mut server.sent) {
+                let Some(forwarder) = sent.proxy.strip_prefix('f').and_then(|n| n.parse::<usize>().ok())
+                else {
+                    continue;
+                };
+                let joined = self.forwarders.get(forwarder).and_then(|h| h.joined);
+                let at = sent.at.saturating_sub(zero);
+                self.evidence.arrivals.push(Arrival { at, server: server.name.clone(), forwarder, joined });
+            }
+        }
+    }
+
+    fn look(&mut self, now: Duration) {
+        let told = self.shared.told.lock().unwrap_or_else(|e| e.into_inner()).clone();
+        let mut last: BTreeMap<(usize, &str), &str> = BTreeMap::new();
+        told.iter().for_each(|t| _ = last.insert((t.planner, t.server.as_str()), t.mode));
+        // Each planner lists one that is ready, there, and warm.
+        let warm = |planner: usize| {
+            self.servers.all.iter().enumerate().any(|(k, s)| {
+                last.get(&(planner, s.name.as_str())) == Some(&"ready")
+                    && self.servers.is_up(k)
+                    && self.servers.warmth(k, self.turn.now()) >= 1.0
+            })
+        };
+        if (0..self.planners.len()).all(warm) {
+            match self.evidence.warm_listed.last_mut().filter(|(_, to)| now <= *to + 3 * LOOK) {
+                Some(span) => span.1 = now,
+                None => self.evidence.warm_listed.push((now, now)),
+            }
+        }
+        for (f, held) in self.forwarders.iter().enumerate() {
+            let tables = held.forwarder.proxy().held();
+            let bare = (0..CLASSES.len()).filter(|c| tables.lines(CLASSES[*c].0).is_empty()).collect();
+            let joined = held.joined.map(|j| j.0);
+            self.evidence.looks.push(Look { at: now, forwarder: f, joined, bare });
+        }
+    }
+
+    fn close(&mut self, shift: Duration) -> Outcomes {
+        let metrics = self.planners.iter().filter_map(|p| read_metrics(p.metrics)).collect::<Vec<_>>();
+        self.shared.done.store(true, Ordering::Relaxed);
+        for thread in std::mem::take(&mut self.threads) {
+            let _ = thread.join();
+        }
+        self.planners.iter_mut().for_each(Process::kill);
+        let most = |name: &str| metrics.iter().filter_map(|m| m.get(name)).copied().fold(0.0, f64::max);
+        let evidence = &mut self.evidence;
+        evidence.lines_waiting = most("runloom_lines_waiting_most") as u64;
+        evidence.doubled = self.servers.doubled();
+        let told = self.shared.told.lock().unwrap_or_else(|e| e.into_inner()).clone();
+        // Threads reckon from the start of the rig, the evidence from the start of the day.
+        evidence.told = told
+            .into_iter()
+            .map(|mut t| {
+                t.at = t.at.saturating_sub(shift);
+                t
+            })
+            .collect();
+        evidence.told.sort_by_key(|t| t.at);
+        let from = |at: Duration| at.saturating_sub(self.zero);
+        evidence.fell = self
+            .servers
+            .all
+            .iter()
+            .filter_map(|s| s.fell.map(|f| (s.name.clone(), from(f), from(s.started))))
+            .collect();
+        let limits = Limits {
+            bare: self.day.bare,
+            drain: self.day.drain,
+            only_drains_bind: self.day.only_drains_bind,
+            backlog: BACKLOG,
+            messages: 0,
+        };
+        let mut counts = Counts::default();
+        for held in &self.forwarders {
+            let c = held.forwarder.proxy().counts;
+            counts.came += c.came;
+            counts.handled += c.handled;
+            counts.further += c.further;
+            counts.over_level += c.over_level;
+            counts.no_line += c.no_line;
+            counts.failed += c.failed;
+        }
+        let tally = &mut self.clients.tally;
+        tally.took.sort_unstable();
+        let at = |part: f64| tally.took.get((tally.took.len() as f64 * part) as usize).copied().unwrap_or(0);
+        let edits = self.shared.outcomes.lock().unwrap_or_else(|e| e.into_inner()).clone();
+        let mut all = BTreeMap::new();
+        metrics.iter().flatten().for_each(|(k, v)| _ = all.insert(k.clone(), *v));
+        Outcomes {
+            queries: tally.queries,
+            handled: tally.handled,
+            in_time: tally.in_time,
+            service: tally.payoff_got / tally.payoff_asked.max(1e-9),
+            doubled: evidence.doubled,
+            broken: broken(evidence, &limits),
+            further: counts.further,
+            lines: self.lines,
+            messages: evidence.messages.values().map(|m| m.len() as u64).sum(),
+            edits,
+            refused: tally.refused.clone(),
+            counts,
+            fell: evidence.fell.len(),
+            took_p50: at(0.5),
+            took_p99: at(0.99),
+            lines_waiting: evidence.lines_waiting,
+            metrics: all,
+        }
+    }
+}
+
+pub fn tls_xml(papers: &Papers) -> String {
+    format!(
+        "<tls><certificate>{}</certificate><key>{}</key><trust>{}</trust></tls>",
+        papers.certificate.display(),
+        papers.key.display(),
+        papers.trust.display()
+    )
+}
+
+/// A planner's metrics, by the text that it serves.
+pub fn read_metrics(at: SocketAddr) -> Option<BTreeMap<String, f64>> {
+    use std::io::{Read, Write};
+    let mut stream = TcpStream::connect_timeout(&at, Duration::from_secs(2)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+    stream.write_all(b"GET /metrics HTTP/1.1\r\nhost: planner\r\n\r\n").ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let line = |l: &str| l.rsplit_once(' ').and_then(|(k, v)| Some((k.to_string(), v.parse().ok()?)));
+    Some(text.lines().filter(|l| l.starts_with("runloom_")).filter_map(line).collect())
+}
--- a/turn/src/lib.rs
+++ b/turn/src/lib.rs
@@ -264,6 +264,13 @@
         self.forget(conn);
     }
 
+    /// Closes one listener for good; its connections stay.
+    pub fn close_listener(&mut self, id: Conn) {
+        if let Some(listener) = self.listeners.remove(&id).filter(|l| l.open) {
+            let _ = self.poller.delete(&listener.socket);
+        }
+    }
+
     /// Takes no new connections.
     pub fn close_listeners(&mut self) {
         for listener in self.listeners.values_mut().filter(|l| l.open) {
