--- a/daemon/src/client.rs
+++ b/daemon/src/client.rs
@@ -128,6 +128,11 @@
         Ok(found)
     }
 
+    /// Sends bytes as they are, well-formed or not.
+    pub fn send_raw(&mut self, bytes: &[u8]) {
+        self.turn.write(self.conn, bytes);
+    }
+
     /// Ends the session in order.
     pub fn close(mut self) -> Result<(), Failed> {
         self.ask(Element::new(BASE, "close-session"), None).map(|_| ())
--- a/daemon/src/desk.rs
+++ b/daemon/src/desk.rs
@@ -9,7 +9,7 @@
 use runloom_netconf::service::{Access, Change, Host, Known};
 use runloom_netconf::tree::Element;
 use runloom_roster::ledger::{self, Ledger};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,7 +56,12 @@
     }
 }
 
-type Entries = (BTreeMap<String, Listed>, BTreeMap<String, Arc<Element>>);
+/// Entries of the roster that are new or other than before, and the names of those that are gone.
+#[derive(Default)]
+struct RosterChange {
+    put: Vec<(Arc<Element>, (String, Listed))>,
+    gone: Vec<String>,
+}
 
 impl Desk {
     /// Starts from a datastore that is valid; the error says why it is not.
@@ -86,8 +91,12 @@
             proxies: BTreeMap::new(),
         };
         let told = |e: Vec<RpcError>| e.first().map_or_else(String::new, |e| e.message.clone());
-        let data = desk.data.clone();
-        (desk.listed, desk.read) = desk.entries(&data).map_err(told)?;
+        let change = desk.roster_change(&desk.data.clone()).map_err(told)?;
+        if let Some(m) = change.put.iter().find_map(|(_, (name, listed))| misfit(&desk.fleet, name, listed)) {
+            return Err(format!("{}: {}", m.path, m.reason));
+        }
+        desk.take_roster(change);
+        desk.list_changed = true;
         Ok(desk)
     }
 
@@ -140,27 +149,43 @@
         (self.dirty, self.list_changed, self.refuses) = (false, true, Some(why));
     }
 
-    /// The roster's entries of a datastore; only those that changed are judged and read.
-    fn entries(&self, data: &Element) -> Result<Entries, Vec<RpcError>> {
-        let (mut listed, mut read, mut changed) =
-            (BTreeMap::new(), BTreeMap::new(), Element::new(FLEET, "roster"));
-        for e in top(data, "roster").map(|r| r.children.as_slice()).unwrap_or_default() {
+    /// What of the roster changed; only that is judged and read.
+    fn roster_change(&self, data: &Element) -> Result<RosterChange, Vec<RpcError>> {
+        let (mut put, mut changed, mut kept) = (vec![], Element::new(FLEET, "roster"), 0);
+        let entries = top(data, "roster").map(|r| r.children.as_slice()).unwrap_or_default();
+        for e in entries {
             let name = e.text_of("name").unwrap_or_default();
-            let old = self.read.get(name).filter(|old| Arc::ptr_eq(old, e)).and(self.listed.get(name));
-            let entry = match old {
-                Some(entry) => entry.clone(),
-                None => {
+            match self.read.get(name) {
+                Some(old) if Arc::ptr_eq(old, e) => kept += 1,
+                old => {
+                    kept += usize::from(old.is_some());
                     changed.children.push(e.clone());
-                    Listed::read(e).map_err(invalid)?.1
+                    put.push((e.clone(), Listed::read(e).map_err(invalid)?));
                 }
-            };
-            listed.insert(name.to_string(), entry);
-            read.insert(name.to_string(), e.clone());
+            }
         }
-        if !changed.children.is_empty() {
+        if !put.is_empty() {
             self.valid(&changed)?;
         }
-        Ok((listed, read))
+        let mut gone = vec![];
+        if kept < self.read.len() {
+            let named: BTreeSet<&str> = entries.iter().filter_map(|e| e.text_of("name")).collect();
+            gone = self.read.keys().filter(|n| !named.contains(n.as_str())).cloned().collect();
+        }
+        Ok(RosterChange { put, gone })
+    }
+
+    fn take_roster(&mut self, change: RosterChange) {
+        for name in change.gone {
+            self.listed.remove(&name);
+            self.read.remove(&name);
+            self.list_changed = true;
+        }
+        for (element, (name, entry)) in change.put {
+            self.list_changed |= self.listed.get(&name) != Some(&entry);
+            self.listed.insert(name.clone(), entry);
+            self.read.insert(name, element);
+        }
     }
 
     fn valid(&self, part: &Element) -> Result<(), Vec<RpcError>> {
@@ -178,26 +203,40 @@
         }
     }
 
-    fn judged(&self, wanted: &Arc<Element>) -> Result<(Fleet, Entries), Vec<RpcError>> {
+    /// The fleet without those words on servers that were valid before: the rest is small.
+    fn changed_words(&self, fleet: &Element) -> Element {
+        let old: BTreeSet<*const Element> =
+            top(&self.data, "fleet").into_iter().flat_map(|f| f.named("server")).map(Arc::as_ptr).collect();
+        let kept = |c: &&Arc<Element>| c.name != "server" || !old.contains(&Arc::as_ptr(c));
+        let children = fleet.children.iter().filter(kept).cloned().collect();
+        Element { children, ..Element::new(FLEET, "fleet") }
+    }
+
+    /// The fleet, if it changed, and what of the roster did.
+    fn judged(&self, wanted: &Arc<Element>) -> Result<(Option<Fleet>, RosterChange), Vec<RpcError>> {
         let Some(part) = top(wanted, "fleet") else {
             return Err(
                 vec![RpcError::application(Tag::DataMissing, "there must be a <fleet>").at("/fleet")],
             );
         };
-        let fleet = if same(wanted, &self.data, "fleet") {
-            self.fleet.clone()
-        } else {
-            self.valid(part)?;
-            Fleet::read(part).map_err(invalid)?
-        };
-        let entries = if same(wanted, &self.data, "roster") {
-            (self.listed.clone(), self.read.clone())
+        let mut fleet = None;
+        if !same(wanted, &self.data, "fleet") {
+            self.valid(&self.changed_words(part))?;
+            fleet = Some(Fleet::read(part).map_err(invalid)?);
+        }
+        let change = if same(wanted, &self.data, "roster") {
+            RosterChange::default()
         } else {
-            self.entries(wanted)?
+            self.roster_change(wanted)?
         };
-        match misfit(&fleet, &entries.0) {
+        let zones = fleet.as_ref().unwrap_or(&self.fleet);
+        let put = change.put.iter().map(|(_, (name, listed))| (name, listed));
+        let stay = self.listed.iter().filter(|(name, _)| fleet.is_some() && !change.gone.contains(name));
+        // One that is put in its place is judged as it is put.
+        let stay = stay.filter(|(name, _)| !change.put.iter().any(|(_, (n, _))| n == *name));
+        match put.chain(stay).find_map(|(name, listed)| misfit(zones, name, listed)) {
             Some(m) => Err(invalid(m)),
-            None => Ok((fleet, entries)),
+            None => Ok((fleet, change)),
         }
     }
 }
@@ -222,8 +261,8 @@
     }
 
     fn commit(&mut self, change: &Change) -> Result<(), Vec<RpcError>> {
-        let (fleet, (listed, read)) = self.judged(change.wanted)?;
-        let touched = !same(change.wanted, &self.data, "fleet");
+        let (fleet, roster) = self.judged(change.wanted)?;
+        let touched = fleet.is_some();
         // The feed's list needs no disk: a planner restarts from the last one that it wrote, and asks again.
         let keeps = touched || change.edit_id.is_some() || change.before.is_some();
         if keeps {
@@ -235,8 +274,11 @@
                 return Err(vec![error.app("not-durable")]);
             }
         }
-        self.list_changed |= listed != self.listed || fleet != self.fleet;
-        (self.fleet, self.listed, self.read) = (fleet, listed, read);
+        self.take_roster(roster);
+        if let Some(fleet) = fleet {
+            self.list_changed |= fleet != self.fleet;
+            self.fleet = fleet;
+        }
         self.data = change.wanted.clone();
         self.before = change.before.cloned();
         if keeps {
--- a/daemon/src/forwarder.rs
+++ b/daemon/src/forwarder.rs
@@ -221,6 +221,14 @@
         self.stream.as_ref().is_some_and(|s| s.session.is_open())
     }
 
+    /// A query that came and ended well without a socket, for planners measured at size.
+    pub fn meets(&mut self, now: Duration, class: usize, work: Duration) {
+        self.next_query += 1;
+        if let Step::Send { .. } = self.proxy.arrived(now.saturating_sub(work), self.next_query, class) {
+            self.proxy.ended(now, self.next_query, Ended::Answered { load: vec![1.0] });
+        }
+    }
+
     /// The planner that it is joined to.
     pub fn planner(&self) -> Option<SocketAddr> {
         self.stream.as_ref().filter(|s| s.session.is_open()).map(|s| s.planner)
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -121,7 +121,7 @@
         Log::Text => log.with_ansi(false).init(),
     }
     let outcome = match line.command {
-        Command::Planner { settings, seed } => run::planner(&settings, seed),
+        Command::Planner { settings, seed } => run::planner(&settings, seed, None),
         Command::Forwarder { settings, seed } => run::forwarder(&settings, seed),
         Command::Check { files } => return check(&files),
         Command::Edit { to, id, file, drain, undrain, share, wait } => {
--- a/daemon/src/planner.rs
+++ b/daemon/src/planner.rs
@@ -5,6 +5,7 @@
 use crate::papers::{holder, server_name, Holder, Terms, PROXY};
 use crate::shelf::Shelf;
 use crate::{earliest, wall_ms, wall_text};
+use hdrhistogram::Histogram;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 use runloom::interface::{Found, Listing};
 use runloom_driver::{Deed, Driver};
@@ -60,7 +61,7 @@
     proxy: Option<usize>,
     zone: String,
     rate: f64,
-    orders: BTreeMap<String, u64>,
+    orders: BTreeMap<String, (u64, Duration)>,
 }
 
 struct Probe {
@@ -94,6 +95,32 @@
     try_disk: Duration,
     recorder: (PrometheusRecorder, PrometheusHandle),
     pub stopping: bool,
+    /// Where the process ends without a word, once: for tests of what survives that.
+    pub dies: Option<Dies>,
+    /// Something was accepted in this turn.
+    kept: bool,
+    /// Microseconds from a decision until its orders are handed to the sockets, and until each is confirmed.
+    written: Histogram<u64>,
+    confirmed: Histogram<u64>,
+}
+
+/// A point of the way of an edit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Dies {
+    BeforeKept,
+    Kept,
+    Replied,
+}
+
+impl Dies {
+    pub fn named(word: &str) -> Option<Dies> {
+        match word {
+            "before-kept" => Some(Dies::BeforeKept),
+            "kept" => Some(Dies::Kept),
+            "replied" => Some(Dies::Replied),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -154,6 +181,10 @@
             try_disk: Duration::ZERO,
             recorder: (recorder, handle),
             stopping: false,
+            dies: None,
+            kept: false,
+            written: histogram()?,
+            confirmed: histogram()?,
         };
         let reachable = Reachable { edits: edits_at, home: home_at, metrics: metrics.map(|m| m.1) };
         tracing::info!(planner = %place.name, edits = %edits_at, home = %home_at, "planner started");
@@ -335,7 +366,8 @@
                 self.joined(turn, conn, &reply);
             }
             Heard::Reply { message_id, reply } => {
-                let Some(number) = home.orders.remove(&message_id) else { return };
+                let Some((number, sent)) = home.orders.remove(&message_id) else { return };
+                self.confirmed.saturating_record(now.saturating_sub(sent).as_micros() as u64);
                 let Some(proxy) = home.proxy else { return };
                 if let Some(error) = reply.child("rpc-error") {
                     // What a proxy refuses it does not hold: it joins anew and is told everything.
@@ -436,7 +468,11 @@
         self.patience(turn, now);
         let (deeds, ordered) = self.driver.turn(now);
         self.desk.ledger.ordered(&ordered.servers, &ordered.proxies);
+        let sends = deeds.iter().filter(|d| matches!(d, Deed::Send { .. })).count();
         deeds.into_iter().for_each(|deed| self.carry(turn, deed));
+        if sends > 0 {
+            self.written.saturating_record(turn.now().saturating_sub(now).as_micros() as u64);
+        }
         self.settle();
         self.reply(turn);
         self.keep_list(now);
@@ -456,8 +492,13 @@
             }
             return;
         };
+        self.die(Dies::BeforeKept);
         match self.shelf.write("accepted.xml", &file) {
-            Ok(()) => self.desk.saved(),
+            Ok(()) => {
+                self.desk.saved();
+                self.kept = true;
+                self.die(Dies::Kept);
+            }
             Err(e) => {
                 tracing::error!(error = %e, "edits cannot be kept: none is accepted until they can");
                 self.desk.take_back(e.to_string());
@@ -535,7 +576,7 @@
                 let Some(conn) = self.joined.get(&proxy).copied() else { return };
                 let Some(Peer::Home(home)) = self.peers.get_mut(&conn) else { return };
                 let message_id = home.session.ask_text(&body);
-                home.orders.insert(message_id, number);
+                home.orders.insert(message_id, (number, turn.now()));
                 tracing::debug!(proxy = %home.holder.name, number, lines, "ordered");
                 self.write_out(turn, conn);
             }
@@ -594,6 +635,15 @@
                 turn.finish(conn);
             }
         }
+        if std::mem::take(&mut self.kept) {
+            self.die(Dies::Replied);
+        }
+    }
+
+    fn die(&self, point: Dies) {
+        if self.dies == Some(point) {
+            std::process::abort();
+        }
     }
 
     fn write_out(&mut self, turn: &mut Turn, conn: Conn) {
@@ -692,6 +742,13 @@
             gauge("runloom_lines_waiting_most", self.driver.most_waiting as f64);
             metrics::counter!("runloom_lines_sent_total").absolute(self.driver.lines_sent);
             metrics::counter!("runloom_messages_sent_total").absolute(self.driver.messages_sent);
+            for (name, times, quantile) in [
+                ("runloom_order_written_seconds_p99", &self.written, 0.99),
+                ("runloom_order_confirmed_seconds_p50", &self.confirmed, 0.5),
+                ("runloom_order_confirmed_seconds_p99", &self.confirmed, 0.99),
+            ] {
+                gauge(name, times.value_at_quantile(quantile) as f64 / 1e6);
+            }
             gauge("runloom_turn_seconds_p99", turn.lengths.value_at_quantile(0.99) as f64 / 1e6);
             gauge("runloom_turn_seconds_max", turn.lengths.max() as f64 / 1e6);
             let standings =
@@ -711,6 +768,11 @@
     }
 }
 
+/// Up to a minute, two digits.
+fn histogram() -> Result<Histogram<u64>, Failed> {
+    Histogram::new_with_bounds(1, 60_000_000, 2).map_err(|e| Failed::Data(e.to_string()))
+}
+
 /// What was accepted before, if anything was; else what the settings say.
 fn open_desk(shelf: &Shelf, place: &Place) -> Result<Desk, Failed> {
     let mut data = (*place.data).clone();
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -289,11 +289,11 @@
 }
 
 /// Names in one part that must stand in another; what a schema of this kind cannot say.
-pub fn misfit(fleet: &Fleet, roster: &BTreeMap<String, Listed>) -> Option<Misfit> {
-    let known = |zone: &str| fleet.zones.iter().any(|(name, _)| name == zone);
-    roster.iter().find(|(_, l)| !known(&l.zone)).map(|(name, l)| Misfit {
+pub fn misfit(fleet: &Fleet, name: &str, listed: &Listed) -> Option<Misfit> {
+    let known = fleet.zones.iter().any(|(zone, _)| *zone == listed.zone);
+    (!known).then(|| Misfit {
         path: format!("/roster/server[name='{name}']/zone"),
-        reason: format!("there is no zone {}", l.zone),
+        reason: format!("there is no zone {}", listed.zone),
     })
 }
 
@@ -336,7 +336,7 @@
         let roster = planner.child("roster").unwrap_or(&empty);
         let listed =
             roster.named("server").map(|e| Listed::read(e)).collect::<Result<BTreeMap<_, _>, _>>()?;
-        if let Some(misfit) = misfit(&typed, &listed) {
+        if let Some(misfit) = listed.iter().find_map(|(name, l)| misfit(&typed, name, l)) {
             return Err(misfit);
         }
         Ok(Place {
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -108,9 +108,13 @@
     for arrival in &evidence.arrivals {
         let Some((joined, planner)) = arrival.joined else { continue };
         let words = evidence.told.iter().filter(|t| t.planner == planner && t.server == arrival.server);
-        let Some(last) = words.filter(|t| t.at <= arrival.at).last() else { continue };
-        let binds = last.mode == "draining" || (last.mode == "gone" && !limits.only_drains_bind);
-        if binds && arrival.at > last.at.max(joined) + limits.drain && told.insert(&arrival.server) {
+        let heard: Vec<&Told> = words.filter(|t| t.at <= arrival.at).collect();
+        // The feed's last word and the operators' last word: a drain of either binds.
+        let last = |staff: bool| heard.iter().rfind(|t| t.staff == staff);
+        let binding = |t: &&&Told| t.mode == "draining" || (t.mode == "gone" && !limits.only_drains_bind);
+        let binds = [last(false), last(true)].into_iter().flatten().filter(binding).min_by_key(|t| t.at);
+        let Some(last) = binds else { continue };
+        if arrival.at > last.at.max(joined) + limits.drain && told.insert(&arrival.server) {
             broken.push(format!(
                 "rule 3: f{} sent to {} at {:.1} s, which was {} since {:.1} s",
                 arrival.forwarder,
@@ -136,7 +140,7 @@
     }
 
     fn told(at: u64, mode: &'static str) -> Told {
-        Told { at: s(at), planner: 0, server: "s1".into(), mode }
+        Told { at: s(at), planner: 0, server: "s1".into(), mode, staff: false }
     }
 
     fn arrival(at: u64, joined: u64) -> Arrival {
--- a/rig/src/clients.rs
+++ b/rig/src/clients.rs
@@ -42,6 +42,7 @@
     pub payoff_got: f64,
     pub refused: BTreeMap<String, u64>,
     pub retries: u64,
+    /// Microseconds, of those handled.
     pub took: Vec<u32>,
 }
 
@@ -156,7 +157,7 @@
             let took = now.saturating_sub(query.came);
             let class = &CLASSES[query.class];
             self.tally.handled += 1;
-            self.tally.took.push(took.as_millis() as u32);
+            self.tally.took.push(took.as_micros().min(u128::from(u32::MAX)) as u32);
             if took <= Duration::from_millis(class.2) {
                 self.tally.in_time += 1;
                 self.tally.payoff_got += class.1;
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod clients;
 pub mod day;
 pub mod issuer;
+pub mod measure;
 pub mod servers;
 pub mod staff;
 pub mod world;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! The rig's command line.
 
 use clap::{Parser, Subcommand, ValueEnum};
+use runloom_daemon::planner::Dies;
 use runloom_rig::day;
 use runloom_rig::world::{Outcomes, World};
 use std::path::PathBuf;
@@ -41,6 +42,8 @@
         #[arg(long)]
         keep: Option<PathBuf>,
     },
+    /// Takes a measurement: edits, overhead, small, large, alone; one figure a line, `name value unit`.
+    Measure { name: String },
     /// A planner's process, for the rig's own use.
     #[command(hide = true)]
     Planner {
@@ -48,6 +51,9 @@
         settings: PathBuf,
         #[arg(long)]
         seed: u64,
+        /// Ends without a word at this point of an edit's way: before-kept, kept, replied.
+        #[arg(long)]
+        dies: Option<String>,
     },
 }
 
@@ -59,8 +65,10 @@
     let outcome = match line.command {
         Command::Demo => play("demo", 1, Report::Text, None),
         Command::Day { file, seed, report, keep } => play(&file, seed, report, keep),
-        Command::Planner { settings, seed } => {
-            runloom_daemon::run::planner(&settings, Some(seed)).map(|()| true)
+        Command::Measure { name } => measured(&name),
+        Command::Planner { settings, seed, dies } => {
+            let dies = dies.as_deref().and_then(Dies::named);
+            runloom_daemon::run::planner(&settings, Some(seed), dies).map(|()| true)
         }
     };
     match outcome {
@@ -87,7 +95,8 @@
         day.lasts.as_secs_f64()
     );
     let edits = day.edits.len() * day.planners;
-    let outcome = World::new(day, seed, &folder).and_then(|mut world| world.play());
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let outcome = World::new(day, seed, &folder, &own).and_then(|mut world| world.play());
     if !kept {
         let _ = std::fs::remove_dir_all(&folder);
     }
@@ -107,9 +116,17 @@
     Ok(outcome.broken.is_empty() && outcome.doubled == 0)
 }
 
+fn measured(name: &str) -> Result<bool, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let folder = std::env::temp_dir().join(format!("runloom-measure-{}", std::process::id()));
+    let outcome = runloom_rig::measure::measure(name, &folder, &own);
+    let _ = std::fs::remove_dir_all(&folder);
+    outcome.map(|()| true)
+}
+
 fn told(o: &Outcomes) {
     println!("queries {}  handled {}  within the soft limit {}", o.queries, o.handled, o.in_time);
-    println!("service {:.3}  p50 {} ms  p99 {} ms", o.service, o.took_p50, o.took_p99);
+    println!("service {:.3}  p50 {} ms  p99 {} ms", o.service, o.took_p50 / 1000, o.took_p99 / 1000);
     println!(
         "further tries {}  over a level {}  without a line {}",
         o.further, o.counts.over_level, o.counts.no_line
--- /dev/null
+++ b/rig/src/measure.rs
@@ -0,0 +1,269 @@
+//! Measurements: one figure a line, `name value unit`. Sizes are told with the names.
+
+use crate::clients::Clients;
+use crate::day::{Day, Edit};
+use crate::issuer::Issuer;
+use crate::servers::Servers;
+use crate::world::World;
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use runloom_daemon::desk::{schema, Desk};
+use runloom_daemon::forwarder::Forwarder;
+use runloom_daemon::papers::{Holder, PROXY};
+use runloom_model::fleet::{Class, Repeats};
+use runloom_model::forwarder::Stand;
+use runloom_model::FLEET;
+use runloom_netconf::service::{Limits, Service};
+use runloom_netconf::session::{Bounds as SessionBounds, Heard, Role, Session};
+use runloom_netconf::tree::Element;
+use runloom_roster::ledger::Ledger;
+use runloom_turn::{Happened, Turn};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub const NAMES: [&str; 5] = ["edits", "overhead", "small", "large", "alone"];
+
+type Told = Result<(), String>;
+
+/// Takes one measurement; `own` is the rig's program.
+pub fn measure(name: &str, folder: &Path, own: &Path) -> Told {
+    match name {
+        "edits" => edits(),
+        "overhead" => overhead(folder),
+        // 45 forwarders x 32 servers at 240 queries/s, 150 x 107 at 850, and 592 x 544 at 2,600 without sockets
+        // for the queries.
+        "small" => path("45x32", sized(45, 32, 240.0, 20), folder, own, None),
+        "large" => path("150x107", sized(150, 107, 850.0, 20), folder, own, None),
+        "alone" => path("592x544", sized(592, 544, 0.0, 20), folder, own, Some(2600.0)),
+        other => Err(format!("there is no measurement {other}: {}", NAMES.join(", "))),
+    }
+}
+
+fn figure(name: &str, value: f64, unit: &str) {
+    println!("{name} {value:.3} {unit}");
+}
+
+/// A quiet day with an edit of a zone's share each second and a half.
+fn sized(forwarders: usize, servers: usize, rate: f64, seconds: u64) -> Day {
+    let ms = Duration::from_millis;
+    let edit = |k: u64| Edit {
+        at: ms(1500 + 1500 * k),
+        id: format!("m{k}"),
+        share: Some((format!("z{}", k % 3), if k % 2 == 0 { "0.6" } else { "1.2" }.into())),
+        drain: None,
+        dropped: false,
+    };
+    Day {
+        lasts: Duration::from_secs(seconds),
+        servers,
+        forwarders,
+        zones: 3,
+        planners: 1,
+        rate,
+        work: ms(50),
+        cores: 2,
+        warm: ms(6000),
+        drain: ms(2500),
+        bare: ms(3000),
+        feed_late: ms(500),
+        only_drains_bind: false,
+        pick: "less-busy".into(),
+        levels: "none".into(),
+        troubles: vec![],
+        edits: (0..seconds * 2 / 3 - 2).map(edit).collect(),
+    }
+}
+
+fn path(size: &str, day: Day, folder: &Path, own: &Path, scripted: Option<f64>) -> Told {
+    let seconds = day.lasts.as_secs_f64();
+    let mut world = World::new(day, 1, folder, own)?;
+    world.scripted = scripted;
+    let outcome = world.play()?;
+    let mut times: Vec<u64> = outcome.edits.iter().filter_map(|e| e.in_force_ms).collect();
+    times.sort_unstable();
+    let at = |part: f64| times.get(((times.len() as f64 * part) as usize).min(times.len().saturating_sub(1)));
+    let told = |name: &str, value: f64, unit: &str| figure(&format!("{size}.{name}"), value, unit);
+    told("edits", outcome.edits.len() as f64, "edits");
+    told("edits_in_force", times.len() as f64, "edits");
+    for (name, part) in [("p50", 0.5), ("p99", 0.99), ("max", 1.0)] {
+        told(&format!("edit_in_force_{name}"), at(part).copied().unwrap_or(0) as f64, "ms");
+    }
+    let metric = |name: &str| outcome.metrics.get(name).copied().unwrap_or(f64::NAN);
+    for (name, metric_name) in [
+        ("order_written_p99", "runloom_order_written_seconds_p99"),
+        ("order_confirmed_p50", "runloom_order_confirmed_seconds_p50"),
+        ("order_confirmed_p99", "runloom_order_confirmed_seconds_p99"),
+        ("turn_p99", "runloom_turn_seconds_p99"),
+        ("turn_max", "runloom_turn_seconds_max"),
+    ] {
+        told(name, metric(metric_name) * 1e3, "ms");
+    }
+    told("lines_waiting_most", outcome.lines_waiting as f64, "lines");
+    told("lines", outcome.lines as f64, "lines");
+    told("messages", outcome.messages as f64, "messages");
+    told("planner_memory", outcome.planner_memory_kb as f64 / 1024.0, "MiB");
+    told("planner_core", outcome.planner_cpu.as_secs_f64() / (seconds + 5.0), "cores");
+    told("joined_all", outcome.settled.as_secs_f64() * 1e3, "ms");
+    if scripted.is_none() {
+        told("queries", outcome.queries as f64, "queries");
+        told("service", outcome.service, "of_1");
+    }
+    if !outcome.broken.is_empty() {
+        return Err(outcome.broken.join("; "));
+    }
+    Ok(())
+}
+
+const FLEET_HEAD: &str =
+    "<class><name>q</name><payoff>1</payoff><soft-limit-ms>500</soft-limit-ms><outer-limit-ms>900\
+    </outer-limit-ms><repeats>safe</repeats></class>";
+const FLEET_TAIL: &str = "<grace><drain-ms>2000</drain-ms><bare-ms>2000</bare-ms><reply-ms>2000</reply-ms></grace>\
+    <channel><lines-per-second>9000</lines-per-second><backlog>9000</backlog><overhead>4</overhead></channel><cold>\
+    <from>0.2</from><warm-after-ms>9000</warm-after-ms></cold><proxies><count>2</count><planners>1</planners>\
+    <pick>chance</pick><levels>none</levels><probes>true</probes><report-ms>1000</report-ms>\
+    <report-lines-per-second>500</report-lines-per-second></proxies><list><only-drains-bind>false</only-drains-bind>\
+    </list>";
+
+/// Edits of the feed, one server each, of a fleet of 544: framed, parsed, applied, judged and committed, on one
+/// core and without disk.
+fn edits() -> Told {
+    let server = |k: usize| {
+        format!("<server><name>s{k}</name><address>127.0.0.1:9</address><zone>a</zone><mode>ready</mode></server>")
+    };
+    let listed: String = (0..544).map(server).collect();
+    let text = format!(
+        "<data><fleet xmlns='{FLEET}'><zone><name>a</name></zone>{FLEET_HEAD}{FLEET_TAIL}</fleet><roster \
+         xmlns='{FLEET}'>{listed}</roster></data>"
+    );
+    let data = Arc::new(Element::parse(&text).map_err(|e| e.reason)?);
+    for (name, top, count) in [("feed", "roster", 10_000u32), ("operator", "fleet", 3_000)] {
+        let mut desk = Desk::new(data.clone(), Ledger::default())?;
+        desk.met(&Holder { name: "feed".into(), ..Holder::default() });
+        let mut service = Service::new(schema()?, Limits { edits: 1e9, ..Limits::default() });
+        let id = service.open("feed", Duration::ZERO).ok_or("no session")?;
+        let mut near = Session::new(Role::Client, &[], SessionBounds::default());
+        let mut far = Session::new(Role::Server { id }, &[], SessionBounds::default());
+        far.take(&near.output(usize::MAX)).map_err(|e| e.to_string())?;
+        near.take(&far.output(usize::MAX)).map_err(|e| e.to_string())?;
+        let mut all = Vec::new();
+        for k in 0..count {
+            let one = Element::new(FLEET, "server").with_leaf("name", format!("s{}", k % 544));
+            let one = one.with_leaf("weight", 1.0 + f64::from(k % 7));
+            let edit = runloom_daemon::client::edit_config("running", Element::new(FLEET, top).with(one));
+            near.ask_with(edit, (top == "fleet").then(|| format!("e{k}")).as_deref());
+            all.push(near.output(usize::MAX));
+        }
+        let (start, mut done) = (Instant::now(), 0u32);
+        for bytes in &all {
+            for heard in far.take(bytes).map_err(|e| e.to_string())? {
+                if let Heard::Rpc(rpc) = heard {
+                    let answer = service.handle(Duration::ZERO, id, &rpc, &mut desk);
+                    done += u32::from(answer.content.first().is_some_and(|c| c.name == "ok"));
+                    far.reply(&rpc, answer.content);
+                    far.output(usize::MAX);
+                }
+            }
+        }
+        if done != count {
+            return Err(format!("{done} of {count} edits were accepted"));
+        }
+        figure(
+            &format!("{name}_edits_per_second"),
+            f64::from(count) / start.elapsed().as_secs_f64(),
+            "edits/s",
+        );
+    }
+    Ok(())
+}
+
+/// What a forwarder adds to a query at 850 queries/s: the same clients straight to a server that answers at
+/// once, and through one forwarder with a loop of its own.
+fn overhead(folder: &Path) -> Told {
+    let issuer = Issuer::new(folder)?;
+    let told = |e: std::io::Error| e.to_string();
+    let papers = issuer.issue("f0", Some(PROXY))?;
+    let mut turn = Turn::new().map_err(told)?;
+    let mut servers = Servers::new(Duration::from_micros(1), 64, Duration::from_secs(1));
+    for _ in 0..4 {
+        servers.add(&mut turn, "z0", false).map_err(told)?;
+    }
+    let class = |name: &str| Class {
+        name: name.into(),
+        payoff: 1.0,
+        soft_limit: Duration::from_secs(1),
+        outer_limit: Duration::from_secs(2),
+        repeats: Repeats::Safe,
+    };
+    let stand = Stand {
+        name: "f0".into(),
+        zone: "z0".into(),
+        listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        planners: vec![],
+        papers,
+        pick: "less-busy".into(),
+        shun_after: 3,
+        shun_for: Duration::from_secs(4),
+        report: Duration::from_millis(500),
+        classes: ["search", "shelf", "loan-checkout"].map(class).to_vec(),
+        standing: servers.all.iter().map(|s| (s.name.clone(), s.address)).collect(),
+    };
+    let (give, take) = std::sync::mpsc::channel();
+    std::thread::spawn(move || -> Told {
+        let mut turn = Turn::new().map_err(told)?;
+        let (mut forwarder, at) = Forwarder::start(&mut turn, stand, 1).map_err(|e| e.to_string())?;
+        let _ = give.send(at);
+        forwarder.run(&mut turn).map_err(told)
+    });
+    let at = take.recv().map_err(|e| e.to_string())?;
+    let mut medians = Vec::new();
+    for (name, to) in [("straight", servers.all[0].address), ("through", at)] {
+        let times = timed(&mut turn, &mut servers, vec![to], 850.0, Duration::from_secs(8))?;
+        for (part, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+            let value = times.value_at_quantile(quantile) as f64 / 1e3;
+            figure(&format!("query_{name}_{part}"), value, "ms");
+            medians.push(value);
+        }
+    }
+    figure("forwarder_added_p50", medians[2] - medians[0], "ms");
+    figure("forwarder_added_p99", medians[3] - medians[1], "ms");
+    Ok(())
+}
+
+fn timed(
+    turn: &mut Turn,
+    servers: &mut Servers,
+    to: Vec<SocketAddr>,
+    rate: f64,
+    span: Duration,
+) -> Result<Histogram<u64>, String> {
+    let mut chance = StdRng::seed_from_u64(1);
+    let mut clients = Clients::new(to, rate);
+    let begin = turn.now();
+    clients.begin(begin);
+    while turn.now() < begin + span + Duration::from_secs(1) {
+        clients.asking = turn.now() < begin + span;
+        let wakes = [servers.wakes_at(), clients.wakes_at(), Some(turn.now() + Duration::from_millis(100))];
+        for h in turn.wait(wakes.into_iter().flatten().min()).map_err(|e| e.to_string())? {
+            match h {
+                Happened::Open { conn, listener: Some(l), .. } if servers.owns(l) => {
+                    servers.opened(turn, conn, l)
+                }
+                Happened::Bytes { conn, bytes } if servers.owns(conn) => {
+                    servers.bytes(turn, conn, &bytes, &mut chance)
+                }
+                Happened::Closed { conn, .. } if servers.owns(conn) => servers.closed(conn),
+                Happened::Bytes { conn, bytes } => clients.bytes(turn, conn, &bytes),
+                Happened::Closed { conn, .. } => clients.closed(turn, conn),
+                _ => {}
+            }
+        }
+        servers.turned(turn, &mut chance);
+        clients.turned(turn, &mut chance);
+    }
+    let mut times = Histogram::new_with_bounds(1, 60_000_000, 3).map_err(|e| e.to_string())?;
+    clients.tally.took.iter().for_each(|us| times.saturating_record(u64::from(*us)));
+    Ok(times)
+}
--- a/rig/src/staff.rs
+++ b/rig/src/staff.rs
@@ -25,6 +25,8 @@
     pub server: String,
     /// `ready`, `draining`, `gone`.
     pub mode: &'static str,
+    /// By an operator's edit; else by the feed.
+    pub staff: bool,
 }
 
 /// What became of one edit.
@@ -117,11 +119,11 @@
         for (server, listed) in &list {
             let mode = if listed.draining { "draining" } else { "ready" };
             if old.get(server).is_none_or(|o| o != listed) {
-                told.push(Told { at, planner, server: server.clone(), mode });
+                told.push(Told { at, planner, server: server.clone(), mode, staff: false });
             }
         }
         for server in old.keys().filter(|s| !list.contains_key(*s)) {
-            told.push(Told { at, planner, server: server.clone(), mode: "gone" });
+            told.push(Told { at, planner, server: server.clone(), mode: "gone", staff: false });
         }
         drop(told);
         known = Some(list);
@@ -175,41 +177,53 @@
         refused: None,
     };
     while !shared.done.load(Ordering::Relaxed) && !outcome.in_force && outcome.refused.is_none() {
-        let session = || -> Result<Element, Failed> {
-            let mut client = Client::open(at, terms, PATIENCE)?;
-            if outcome.accepted.is_none() {
-                outcome.tries += 1;
-                let operation = edit_config("running", top(edit));
-                if edit.dropped && outcome.tries == 1 {
-                    // The session drops between the edit and its reply.
-                    client.send(operation, Some(&edit.id));
-                    return Err(Failed::Ended("dropped on purpose".into()));
-                }
-                client.ask(operation, Some(&edit.id))?;
-                let now = start.elapsed();
-                outcome.accepted = Some(now);
-                if let Some((server, true)) = &edit.drain {
-                    let told = Told { at: now, planner, server: server.clone(), mode: "draining" };
-                    shared.told.lock().unwrap_or_else(|e| e.into_inner()).push(told);
-                }
-            }
-            client.get(Element::new(STATE, "state").with(Element::new(STATE, "edit")))
-        };
-        let mut session = session;
-        match session() {
+        match session(planner, at, terms, edit, shared, start, &mut outcome) {
+            Ok(()) => {}
             Err(Failed::Refused(why)) => outcome.refused = Some(why),
             Err(e) => tracing::debug!(edit = %edit.id, error = %e, "asked again under the same id"),
-            Ok(reply) => {
-                let state = reply.child("data").and_then(|d| d.child("state"));
-                let found =
-                    state.and_then(|s| s.named("edit").find(|e| e.text_of("id") == Some(&edit.id)).cloned());
-                if let Some(e) = found.filter(|e| e.text_of("state") == Some("in-force")) {
-                    outcome.in_force = true;
-                    outcome.in_force_ms = e.text_of("in-force-ms").and_then(|t| t.parse().ok());
-                }
-            }
         }
         std::thread::sleep(AGAIN);
     }
     outcome
 }
+
+/// One session: sends the edit unless it is known to be accepted, then asks until it is in force.
+fn session(
+    planner: usize,
+    at: SocketAddr,
+    terms: &Terms,
+    edit: &Edit,
+    shared: &Shared,
+    start: Instant,
+    outcome: &mut Outcome,
+) -> Result<(), Failed> {
+    let mut client = Client::open(at, terms, PATIENCE)?;
+    if outcome.accepted.is_none() {
+        outcome.tries += 1;
+        let operation = edit_config("running", top(edit));
+        if edit.dropped && outcome.tries == 1 {
+            // The session drops between the edit and its reply.
+            client.send(operation, Some(&edit.id));
+            return Err(Failed::Ended("dropped on purpose".into()));
+        }
+        client.ask(operation, Some(&edit.id))?;
+        let now = start.elapsed();
+        outcome.accepted = Some(now);
+        if let Some((server, drain)) = &edit.drain {
+            let mode = if *drain { "draining" } else { "ready" };
+            let told = Told { at: now, planner, server: server.clone(), mode, staff: true };
+            shared.told.lock().unwrap_or_else(|e| e.into_inner()).push(told);
+        }
+    }
+    while !outcome.in_force && !shared.done.load(Ordering::Relaxed) {
+        let reply = client.get(Element::new(STATE, "state").with(Element::new(STATE, "edit")))?;
+        let state = reply.child("data").and_then(|d| d.child("state"));
+        let found = state.and_then(|s| s.named("edit").find(|e| e.text_of("id") == Some(&edit.id)).cloned());
+        if let Some(e) = found.filter(|e| e.text_of("state") == Some("in-force")) {
+            outcome.in_force = true;
+            outcome.in_force_ms = e.text_of("in-force-ms").and_then(|t| t.parse().ok());
+        }
+        std::thread::sleep(AGAIN);
+    }
+    Ok(())
+}
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -41,14 +41,21 @@
 }
 
 impl Process {
-    fn spawn(settings: &Path, seed: u64, log: &Path) -> Result<(Child, Vec<SocketAddr>), String> {
-        let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    /// Starts a planner by the rig's program `own`, and reads where it can be reached.
+    pub fn spawn(
+        own: &Path,
+        settings: &Path,
+        seed: u64,
+        log: &Path,
+        dies: Option<&str>,
+    ) -> Result<(Child, Vec<SocketAddr>), String> {
         let file =
             std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(|e| e.to_string())?;
         let mut child = Command::new(own)
             .args(["planner", "--settings"])
             .arg(settings)
             .args(["--seed", &seed.to_string()])
+            .args(dies.map(|point| format!("--dies={point}")))
             .stdout(Stdio::piped())
             .stderr(file)
             .spawn()
@@ -67,7 +74,7 @@
         Ok((child, at))
     }
 
-    fn kill(&mut self) {
+    pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
             let _ = child.wait();
@@ -105,6 +112,11 @@
     pub took_p99: u32,
     pub lines_waiting: u64,
     pub metrics: BTreeMap<String, f64>,
+    /// Of the first planner, at the end: resident memory, and processor time since its start.
+    pub planner_memory_kb: u64,
+    pub planner_cpu: Duration,
+    /// From the first forwarder's dial until all were ordered.
+    pub settled: Duration,
 }
 
 struct Held {
@@ -119,6 +131,7 @@
     chance: StdRng,
     seed: u64,
     folder: PathBuf,
+    own: PathBuf,
     pub planners: Vec<Process>,
     servers: Servers,
     clients: Clients,
@@ -138,6 +151,11 @@
     feed: Papers,
     threads: Vec<std::thread::JoinHandle<()>>,
     zero: Duration,
+    settled: Duration,
+    /// Queries a second that forwarders meet without sockets, for planners at sizes that one machine's
+    /// sockets do not reach.
+    pub scripted: Option<f64>,
+    scripted_until: Duration,
 }
 
 enum What {
@@ -166,7 +184,8 @@
 }
 
 impl World {
-    pub fn new(day: Day, seed: u64, folder: &Path) -> Result<World, String> {
+    /// Starts everything; `own` is the rig's own program, which runs the planners' processes.
+    pub fn new(day: Day, seed: u64, folder: &Path, own: &Path) -> Result<World, String> {
         let told = |e: std::io::Error| e.to_string();
         let issuer = Issuer::new(&folder.join("papers"))?;
         let mut turn = Turn::new().map_err(told)?;
@@ -179,6 +198,7 @@
             chance: StdRng::seed_from_u64(seed),
             seed,
             folder: folder.to_path_buf(),
+            own: own.to_path_buf(),
             planners: vec![],
             clients: Clients::new(vec![], day.rate),
             servers,
@@ -197,6 +217,9 @@
             feed,
             threads: vec![],
             zero: turn.now(),
+            settled: Duration::ZERO,
+            scripted: None,
+            scripted_until: Duration::ZERO,
             turn,
             day,
         };
@@ -227,7 +250,7 @@
         };
         write([any; 3])?;
         let log = self.folder.join(format!("planner-{planner}.log"));
-        let (child, at) = Process::spawn(&settings, self.seed, &log)?;
+        let (child, at) = Process::spawn(&self.own, &settings, self.seed, &log, None)?;
         // A restart must be found where the first start was.
         write([at[0], at[1], at[2]])?;
         let (edits, home, metrics) = (at[0], at[1], at[2]);
@@ -301,13 +324,13 @@
             let (forwarder, at) = Forwarder::start(&mut self.turn, stand, seed).map_err(|e| e.to_string())?;
             listens.push(at);
             self.forwarders.push(Held { forwarder, joined: None, joins: 0 });
-            self.own(f);
+            self.adopt(f);
         }
         self.clients = Clients::new(listens, self.day.rate);
         Ok(())
     }
 
-    fn own(&mut self, f: usize) {
+    fn adopt(&mut self, f: usize) {
         for conn in std::mem::take(&mut self.forwarders[f].forwarder.made) {
             self.owner.insert(conn, f);
         }
@@ -507,7 +530,7 @@
                 let log = self.folder.join(format!("planner-{planner}.log"));
                 let settings = self.planners[planner].settings.clone();
                 self.seed += 1;
-                let (child, _) = Process::spawn(&settings, self.seed, &log)?;
+                let (child, _) = Process::spawn(&self.own, &settings, self.seed, &log, None)?;
                 self.planners[planner].child = Some(child);
             }
             What::Hear(ids) => {
@@ -542,6 +565,7 @@
             if now >= next_look {
                 next_look = now + LOOK;
                 self.look(now);
+                self.scripted(now);
             }
             let next = self.agenda.iter().map(|(at, _)| *at).min().unwrap_or(end).min(next_look);
             self.one_turn(self.zero + next)?;
@@ -549,9 +573,24 @@
         Ok(self.close(shift))
     }
 
+    /// Queries that never pass a socket: each forwarder picks as ever, and each ends well after the usual work.
+    fn scripted(&mut self, now: Duration) {
+        let Some(rate) = self.scripted else { return };
+        let span = now.saturating_sub(self.scripted_until).as_secs_f64();
+        self.scripted_until = now;
+        let due = (rate * span) as usize;
+        let at = self.turn.now();
+        for _ in 0..due {
+            let f = self.chance.random_range(0..self.forwarders.len());
+            let class = self.chance.random_range(0..CLASSES.len());
+            self.forwarders[f].forwarder.meets(at, class, self.day.work);
+        }
+    }
+
     /// Until all forwarders are joined and ordered, for a minute at the most.
     fn settle_in(&mut self) -> Result<(), String> {
-        let end = self.turn.now() + Duration::from_secs(60);
+        let begin = self.turn.now();
+        let end = begin + Duration::from_secs(60);
         let ordered = |h: &Held| h.forwarder.proxy().held().ordered;
         while !self.forwarders.iter().all(ordered) {
             if self.turn.now() > end {
@@ -560,6 +599,7 @@
             let until = self.turn.now() + LOOK;
             self.one_turn(until)?;
         }
+        self.settled = self.turn.now().saturating_sub(begin);
         Ok(())
     }
 
@@ -574,7 +614,7 @@
         self.clients.turned(&mut self.turn, &mut self.chance);
         for f in 0..self.forwarders.len() {
             self.forwarders[f].forwarder.turned(&mut self.turn);
-            self.own(f);
+            self.adopt(f);
             self.note(f);
         }
         Ok(())
@@ -613,7 +653,7 @@
                 self.owner.remove(conn);
             }
             self.forwarders[f].forwarder.happened(&mut self.turn, happened);
-            self.own(f);
+            self.adopt(f);
         } else if self.servers.owns(conn) {
             match happened {
                 Happened::Bytes { conn, bytes } => {
@@ -682,6 +722,7 @@
         for thread in std::mem::take(&mut self.threads) {
             let _ = thread.join();
         }
+        let (memory, cpu) = self.planners.first().and_then(Process::id).map(used).unwrap_or_default();
         self.planners.iter_mut().for_each(Process::kill);
         let most = |name: &str| metrics.iter().filter_map(|m| m.get(name)).copied().fold(0.0, f64::max);
         let evidence = &mut self.evidence;
@@ -745,10 +786,24 @@
             took_p99: at(0.99),
             lines_waiting: evidence.lines_waiting,
             metrics: all,
+            planner_memory_kb: memory,
+            planner_cpu: cpu,
+            settled: self.settled,
         }
     }
 }
 
+/// Resident memory in KiB and processor time of a process, by the kernel's word; a tick is 10 ms.
+fn used(id: u32) -> (u64, Duration) {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let resident = status.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let memory = resident.and_then(|l| l.split_whitespace().next()?.parse().ok()).unwrap_or(0);
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks: u64 = [11, 12].iter().filter_map(|k| fields.get(*k)?.parse::<u64>().ok()).sum();
+    (memory, Duration::from_millis(ticks * 10))
+}
+
 pub fn tls_xml(papers: &Papers) -> String {
     format!(
         "<tls><certificate>{}</certificate><key>{}</key><trust>{}</trust></tls>",
--- /dev/null
+++ b/rig/tests/whole.rs
@@ -0,0 +1,322 @@
+//! The whole path, with the failures it is for: planners as processes, everything else on loopback.
+
+use runloom_daemon::client::{edit_config, Client};
+use runloom_daemon::papers::Terms;
+use runloom_model::fleet::Papers;
+use runloom_model::{FLEET, STATE};
+use runloom_netconf::tree::Element;
+use runloom_netconf::BASE;
+use runloom_rig::day::{Day, Edit, Trouble};
+use runloom_rig::issuer::Issuer;
+use runloom_rig::world::{tls_xml, Outcomes, Process, World};
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::Child;
+use std::time::{Duration, Instant};
+
+/// The rig's own program, which runs the planners' processes.
+fn own() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_runloom-rig"))
+}
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let path = std::env::temp_dir().join(format!("runloom-whole-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&path);
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// One planner without proxies, and a member of staff.
+struct Desk {
+    folder: Folder,
+    child: Child,
+    at: SocketAddr,
+    terms: Terms,
+    issuer: Issuer,
+    settings: PathBuf,
+}
+
+const FLEET_XML: &str = "<fleet><zone><name>a</name></zone><zone><name>b</name></zone><class><name>q</name>\
+    <payoff>1</payoff><soft-limit-ms>500</soft-limit-ms><outer-limit-ms>900</outer-limit-ms><repeats>safe</repeats>\
+    </class><grace><drain-ms>2000</drain-ms><bare-ms>2000</bare-ms><reply-ms>2000</reply-ms></grace><channel>\
+    <lines-per-second>9000</lines-per-second><backlog>9000</backlog><overhead>4</overhead></channel><cold>\
+    <from>0.2</from><warm-after-ms>9000</warm-after-ms></cold><proxies><count>2</count><planners>1</planners>\
+    <pick>chance</pick><levels>none</levels><probes>false</probes><report-ms>1000</report-ms>\
+    <report-lines-per-second>500</report-lines-per-second></proxies><list><only-drains-bind>false</only-drains-bind>\
+    </list></fleet>";
+
+fn write_settings(path: &Path, folder: &Path, papers: &Papers, at: [SocketAddr; 3]) {
+    let text = format!(
+        "<planner xmlns='urn:runloom:fleet'><name>p</name><edits>{}</edits><home>{}</home><metrics>{}</metrics>\
+         <folder>{}</folder>{}{FLEET_XML}</planner>",
+        at[0],
+        at[1],
+        at[2],
+        folder.join("state").display(),
+        tls_xml(papers)
+    );
+    std::fs::write(path, text).unwrap();
+}
+
+impl Desk {
+    fn new(name: &str, dies: Option<&str>) -> Desk {
+        let folder = Folder::new(name);
+        let issuer = Issuer::new(&folder.0.join("papers")).unwrap();
+        let papers = issuer.issue("p", Some("planner.runloom")).unwrap();
+        let settings = folder.0.join("planner.xml");
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        write_settings(&settings, &folder.0, &papers, [any; 3]);
+        let (child, at) = Process::spawn(&own(), &settings, 1, &folder.0.join("log"), dies).unwrap();
+        write_settings(&settings, &folder.0, &papers, [at[0], at[1], at[2]]);
+        let terms = Terms::load(&issuer.issue("staff", None).unwrap()).unwrap();
+        Desk { folder, child, at: at[0], terms, issuer, settings }
+    }
+
+    fn client(&self) -> Client {
+        Client::open(self.at, &self.terms, Duration::from_secs(20)).unwrap()
+    }
+
+    fn restart(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.child = Process::spawn(&own(), &self.settings, 2, &self.folder.0.join("log"), None).unwrap().0;
+    }
+}
+
+impl Drop for Desk {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Creates a word on a server: a second time it would be refused.
+fn create(name: &str) -> Element {
+    let server = Element::new(FLEET, "server").with_attribute(BASE, "operation", "create");
+    Element::new(FLEET, "fleet").with(server.with_leaf("name", name).with_leaf("drain", true))
+}
+
+fn operation(name: &str, inner: &[&str]) -> Element {
+    inner.iter().fold(Element::new(BASE, name), |o, i| o.with(Element::new(BASE, i)))
+}
+
+fn words(client: &mut Client) -> usize {
+    let source = Element::new(BASE, "source").with(Element::new(BASE, "running"));
+    let reply = client.ask(Element::new(BASE, "get-config").with(source), None).unwrap();
+    reply.child("data").unwrap().child("fleet").unwrap().named("server").count()
+}
+
+fn ids(client: &mut Client) -> Vec<String> {
+    let reply = client.get(Element::new(STATE, "state").with(Element::new(STATE, "edit"))).unwrap();
+    let state = reply.child("data").and_then(|d| d.child("state")).cloned().unwrap_or_default();
+    state.named("edit").filter_map(|e| e.text_of("id").map(str::to_string)).collect()
+}
+
+/// The planner is killed before the edit is kept, after that and before its reply, and after its reply. The
+/// client asks again under the same id and learns that it took; it took once.
+#[test]
+fn an_edit_repeated_after_a_kill_at_any_point_takes_effect_once() {
+    for point in ["before-kept", "kept", "replied"] {
+        let mut desk = Desk::new(point, Some(point));
+        let mut client = desk.client();
+        let first = client.ask(edit_config("running", create("s1")), Some("once"));
+        if point != "replied" {
+            assert!(first.is_err(), "{point}");
+        }
+        let _ = desk.child.wait();
+        desk.restart();
+        let mut client = desk.client();
+        let kept = ids(&mut client).len();
+        assert_eq!(kept, usize::from(point != "before-kept"), "{point}");
+        client.ask(edit_config("running", create("s1")), Some("once")).unwrap();
+        assert_eq!((words(&mut client), ids(&mut client)), (1, vec!["once".to_string()]), "{point}");
+        let other = client.ask(edit_config("running", create("s2")), Some("once")).unwrap_err();
+        assert!(other.to_string().contains("edit-id-reused"), "{other}");
+    }
+}
+
+#[test]
+fn a_session_that_drops_without_its_reply_asks_again() {
+    let desk = Desk::new("dropped", None);
+    let mut client = desk.client();
+    client.send(edit_config("running", create("s1")), Some("d1"));
+    drop(client);
+    let mut client = desk.client();
+    client.ask(edit_config("running", create("s1")), Some("d1")).unwrap();
+    assert_eq!((words(&mut client), ids(&mut client).len()), (1, 1));
+}
+
+/// Over a restart too, as RFC 6241 has it.
+#[test]
+fn a_confirmed_commit_whose_client_or_planner_disappears_is_taken_back() {
+    let mut desk = Desk::new("confirmed", None);
+    let mut client = desk.client();
+    client.ask(edit_config("candidate", create("s1")), None).unwrap();
+    client.ask(operation("commit", &["confirmed"]), None).unwrap();
+    assert_eq!(words(&mut client), 1);
+    drop(client);
+    let mut client = desk.client();
+    let end = Instant::now() + Duration::from_secs(20);
+    while words(&mut client) > 0 && Instant::now() < end {}
+    assert_eq!(words(&mut client), 0);
+    client.ask(edit_config("candidate", create("s1")), None).unwrap();
+    client.ask(operation("commit", &["confirmed"]).with(Element::leaf(BASE, "persist", "x")), None).unwrap();
+    assert_eq!(words(&mut client), 1);
+    desk.restart();
+    assert_eq!(words(&mut desk.client()), 0);
+}
+
+#[test]
+fn locks_keep_overlapping_edits_apart_and_go_with_their_session() {
+    let desk = Desk::new("locks", None);
+    let (mut a, mut b) = (desk.client(), desk.client());
+    let lock = || Element::new(BASE, "lock").with(operation("target", &["running"]));
+    a.ask(lock(), None).unwrap();
+    assert!(b.ask(lock(), None).unwrap_err().to_string().contains("lock-denied"));
+    assert!(b.edit(create("s1"), None).unwrap_err().to_string().contains("in-use"));
+    a.edit(create("s2"), None).unwrap();
+    drop(a);
+    let end = Instant::now() + Duration::from_secs(20);
+    while b.edit(create("s1"), None).is_err() && Instant::now() < end {}
+    assert_eq!(words(&mut b), 2);
+}
+
+/// Garbage, half a message and silence, a message without an end: others are answered all the while.
+#[test]
+fn peers_that_send_garbage_or_half_a_message_leave_others_alone() {
+    let desk = Desk::new("garbage", None);
+    let mut plain = TcpStream::connect(desk.at).unwrap();
+    plain.write_all(&[0x55; 4096]).unwrap();
+    let mut stalled = TcpStream::connect(desk.at).unwrap();
+    stalled.write_all(&[0x16, 0x03, 0x01]).unwrap();
+    let mut half = desk.client();
+    half.send_raw(b"\n#400000\n<rpc message-id='1'");
+    let mut endless = desk.client();
+    for _ in 0..40 {
+        endless.send_raw(&[b"\n#65536\n".as_slice(), &[b'x'; 65536]].concat());
+    }
+    let mut client = desk.client();
+    client.edit(create("s1"), Some("fine")).unwrap();
+    assert_eq!(words(&mut client), 1);
+    assert!(
+        endless.ask(operation("get", &[]), None).is_err(),
+        "a message larger than any may be ends its session"
+    );
+}
+
+#[test]
+fn a_proxys_certificate_may_not_edit_and_strangers_may_not_even_connect() {
+    let desk = Desk::new("papers", None);
+    let proxy = Terms::load(&desk.issuer.issue("f1", Some("proxy.runloom")).unwrap()).unwrap();
+    let mut client = Client::open(desk.at, &proxy, Duration::from_secs(20)).unwrap();
+    assert!(client.edit(create("s1"), None).unwrap_err().to_string().contains("access-denied"));
+    let others = Issuer::new(&desk.folder.0.join("others")).unwrap();
+    let stranger = Terms::load(&others.issue("staff", None).unwrap()).unwrap();
+    assert!(Client::open(desk.at, &stranger, Duration::from_secs(20)).is_err());
+    assert_eq!(words(&mut desk.client()), 0);
+}
+
+#[test]
+fn an_edit_that_cannot_be_kept_is_not_accepted_and_reads_go_on() {
+    let desk = Desk::new("disk", None);
+    let mut client = desk.client();
+    client.edit(create("s1"), None).unwrap();
+    // The folder is replaced by a file: nothing can be written there.
+    let state = desk.folder.0.join("state");
+    std::fs::remove_dir_all(&state).unwrap();
+    std::fs::write(&state, b"in the way").unwrap();
+    assert!(client.edit(create("s2"), Some("lost")).is_err());
+    let mut client = desk.client();
+    assert_eq!(words(&mut client), 1);
+    assert!(client.edit(create("s2"), Some("lost")).unwrap_err().to_string().contains("not-durable"));
+    std::fs::remove_file(&state).unwrap();
+    std::fs::create_dir_all(&state).unwrap();
+    let end = Instant::now() + Duration::from_secs(20);
+    while client.edit(create("s2"), Some("lost")).is_err() && Instant::now() < end {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(words(&mut client), 2);
+}
+
+fn day(servers: usize, forwarders: usize) -> Day {
+    let ms = Duration::from_millis;
+    Day {
+        lasts: ms(8000),
+        servers,
+        forwarders,
+        zones: 2,
+        planners: 1,
+        rate: 60.0,
+        work: ms(20),
+        cores: 2,
+        warm: ms(3000),
+        drain: ms(4000),
+        bare: ms(4000),
+        feed_late: ms(200),
+        only_drains_bind: false,
+        pick: "less-busy".into(),
+        levels: "none".into(),
+        troubles: vec![],
+        edits: vec![],
+    }
+}
+
+fn trouble(at: u64, kind: &str, count: usize, lasts: u64) -> Trouble {
+    let seconds = Duration::from_secs;
+    Trouble { at: seconds(at), kind: kind.into(), count, lasts: seconds(lasts), size: 1.0 }
+}
+
+fn drain(at: u64, id: &str, server: &str, dropped: bool) -> Edit {
+    let drain = Some((server.to_string(), true));
+    Edit { at: Duration::from_secs(at), id: id.into(), share: None, drain, dropped }
+}
+
+fn play(name: &str, day: Day) -> Outcomes {
+    let folder = Folder::new(name);
+    let outcome = World::new(day, 5, &folder.0, &own()).unwrap().play().unwrap();
+    assert_eq!((outcome.broken.as_slice(), outcome.doubled), (&[][..], 0), "{outcome:?}");
+    outcome
+}
+
+/// Forwarders that read nothing any more, while forty others must get a drain in time.
+#[test]
+fn a_drain_reaches_forty_forwarders_in_time_beside_deaf_ones() {
+    let mut day = day(12, 42);
+    day.troubles = vec![trouble(1, "deaf", 2, 6)];
+    day.edits = vec![drain(2, "d", "s1", true)];
+    let outcome = play("deaf", day);
+    assert!(outcome.edits[0].in_force, "{outcome:?}");
+}
+
+/// Killed between edits, with streams that break and servers that die: rules kept, nothing doubled.
+#[test]
+fn edits_under_failure_keep_the_rules() {
+    let mut day = day(8, 12);
+    day.troubles =
+        vec![trouble(1, "crash", 2, 3), trouble(2, "planner-kill", 1, 1), trouble(5, "stream-break", 12, 0)];
+    day.edits = vec![drain(1, "d1", "s1", false), drain(3, "d2", "s2", true)];
+    day.edits[0].share = Some(("z1".into(), "0.5".into()));
+    let outcome = play("failure", day);
+    assert!(outcome.edits.iter().all(|e| e.in_force && e.refused.is_none()), "{outcome:?}");
+    assert!(outcome.queries > 200 && outcome.handled > outcome.queries / 2, "{outcome:?}");
+}
+
+/// The only server drains: the drain is kept, queries are refused at once, and nothing is pretended.
+#[test]
+fn where_the_only_server_drains_queries_are_refused_at_once() {
+    let mut day = day(1, 2);
+    day.edits = vec![drain(2, "last", "s0", false)];
+    let outcome = play("last", day);
+    assert!(outcome.counts.no_line > 10, "{outcome:?}");
+}
