--- a/daemon/src/desk.rs
+++ b/daemon/src/desk.rs
@@ -106,6 +106,11 @@
         &self.fleet
     }
 
+    /// `<fleet>` as it stands, as text.
+    pub fn fleet_text(&self) -> String {
+        top(&self.data, "fleet").map(|f| f.to_text()).unwrap_or_default()
+    }
+
     pub fn listed(&self) -> &BTreeMap<String, Listed> {
         &self.listed
     }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -3,7 +3,7 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use runloom_daemon::client::{edit_config, Client};
 use runloom_daemon::papers::Terms;
-use runloom_daemon::planner::Trial;
+use runloom_daemon::planner::{Trial, BUILD};
 use runloom_daemon::settings::read;
 use runloom_daemon::{run, wall_ms};
 use runloom_guard::case::Case;
@@ -11,6 +11,7 @@
 use runloom_model::{FLEET, STATE};
 use runloom_netconf::tree::Element;
 use runloom_netconf::{BASE, NOTIFY};
+use runloom_record::Entry;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -82,6 +83,30 @@
         #[command(subcommand)]
         command: GuardCommand,
     },
+    /// What a planner recorded.
+    Record {
+        #[command(subcommand)]
+        command: RecordCommand,
+    },
+    /// A recorded day again: the same orders, or those under another setting.
+    Replay {
+        /// The record's folder.
+        #[arg(long)]
+        folder: PathBuf,
+        /// The planner's last start but so many.
+        #[arg(long, default_value_t = 0)]
+        back: usize,
+        /// Another `<fleet>`, in place of the recorded one.
+        #[arg(long)]
+        fleet: Option<PathBuf>,
+        #[arg(long)]
+        seed: Option<u64>,
+        /// Without the guard.
+        #[arg(long)]
+        unguarded: bool,
+        #[arg(long)]
+        json: bool,
+    },
     /// Shows a planner's `state`, `fleet` or `roster`, or one edit.
     Show {
         #[command(flatten)]
@@ -94,6 +119,26 @@
     },
 }
 
+#[derive(Subcommand)]
+enum RecordCommand {
+    /// The segments.
+    Ls { folder: PathBuf },
+    /// The entries, a line each.
+    Show {
+        folder: PathBuf,
+        /// Only of this kind: start, listed, refit, joined, left, applied, report, probed, edit, turn, lost.
+        #[arg(long)]
+        kind: Option<String>,
+        /// Only about this proxy, server or edit.
+        #[arg(long)]
+        name: Option<String>,
+    },
+    /// All entries as JSON, a line each.
+    Export { folder: PathBuf },
+    /// Reads all of it: code 1 if anything cannot be read.
+    Verify { folder: PathBuf },
+}
+
 #[derive(Subcommand)]
 enum GuardCommand {
     /// Judges a refusal of a log anew, step by step.
@@ -149,6 +194,10 @@
                 .and_then(|config| edit(&to, id.as_deref(), config, wait))
         }
         Command::Guard { command: GuardCommand::Explain { log, number } } => explain(&log, number),
+        Command::Record { command } => record(&command),
+        Command::Replay { folder, back, fleet, seed, unguarded, json } => {
+            replayed(&folder, back, fleet.as_deref(), seed, unguarded, json)
+        }
         Command::Show { to, what, edit } => show(&to, &what, edit.as_deref()),
     };
     match outcome {
@@ -160,6 +209,115 @@
     }
 }
 
+fn record(command: &RecordCommand) -> Result<(), String> {
+    let (RecordCommand::Ls { folder }
+    | RecordCommand::Show { folder, .. }
+    | RecordCommand::Export { folder }
+    | RecordCommand::Verify { folder }) = command;
+    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+    let mut bad = 0;
+    for segment in runloom_record::folder::segments(folder).map_err(told)? {
+        let (entries, torn) = match runloom_record::folder::read(&segment) {
+            Ok(read) => read,
+            Err(e) => {
+                bad += 1;
+                println!("{e}");
+                continue;
+            }
+        };
+        let span = entries.first().zip(entries.last()).map_or((0, 0), |(a, b)| (a.at, b.at));
+        let seconds = |at: u64| at as f64 / 1e6;
+        match command {
+            RecordCommand::Ls { .. } | RecordCommand::Verify { .. } => {
+                let kind = if segment.columnar { "parquet" } else { "journal" };
+                let (from, to) = (seconds(span.0), seconds(span.1));
+                let tail =
+                    if torn > 0 { format!(", a torn tail of {torn} bytes left out") } else { String::new() };
+                println!(
+                    "{:08} {kind} {} bytes, {} entries, {from:.1} to {to:.1} s{tail}",
+                    segment.number,
+                    segment.bytes,
+                    entries.len()
+                );
+            }
+            RecordCommand::Show { kind, name, .. } => {
+                let fits = |e: &&Entry| {
+                    kind.as_ref().is_none_or(|k| e.what.kind() == k)
+                        && name.as_ref().is_none_or(|n| e.what.name() == n)
+                };
+                for e in entries.iter().filter(fits) {
+                    let (queries, failed, lines) = runloom_record::columns::sums(&e.what);
+                    let sums = format!("queries {queries} failed {failed} lines {lines}");
+                    println!("{:>12.6} {:8} {:16} {sums}", seconds(e.at), e.what.kind(), e.what.name());
+                }
+            }
+            RecordCommand::Export { .. } => {
+                for e in &entries {
+                    println!("{}", serde_json::to_string(e).map_err(|e| e.to_string())?);
+                }
+            }
+        }
+    }
+    if bad == 0 {
+        Ok(())
+    } else {
+        Err(format!("{bad} segments cannot be read"))
+    }
+}
+
+fn replayed(
+    folder: &Path,
+    back: usize,
+    fleet: Option<&Path>,
+    seed: Option<u64>,
+    unguarded: bool,
+    json: bool,
+) -> Result<(), String> {
+    let entries = runloom_record::folder::day(folder, back).map_err(|e| e.to_string())?;
+    let print = |value: serde_json::Value| println!("{value}");
+    if fleet.is_none() && seed.is_none() && !unguarded {
+        let same = runloom_replay::exact::replay(&entries, BUILD).map_err(|e| e.to_string())?;
+        match (&same.first, json) {
+            (_, true) => print(serde_json::to_value(&same).map_err(|e| e.to_string())?),
+            (None, _) => {
+                println!("the same: {} turns, {} messages, byte for byte", same.turns, same.messages)
+            }
+            (Some(d), _) => {
+                println!("other from {:.3} s on, after {} turns: {} ({})", d.at, d.turns, d.what, d.why)
+            }
+        }
+        return same.first.map_or(Ok(()), |d| Err(format!("it differs: {}", d.what)));
+    }
+    let text =
+        fleet.map(|f| std::fs::read_to_string(f).map_err(|e| format!("{}: {e}", f.display()))).transpose()?;
+    let fleet = text.map(|t| runloom_replay::fleet(&t)).transpose().map_err(|e| e.to_string())?;
+    let setting = runloom_replay::other::Setting { fleet, seed, unguarded };
+    let compared = runloom_replay::other::compare(&entries, &setting).map_err(|e| e.to_string())?;
+    if json {
+        print(serde_json::to_value(&compared).map_err(|e| e.to_string())?);
+        return Ok(());
+    }
+    for (name, came) in [("as it was", &compared.was), ("as it would be", &compared.would)] {
+        println!(
+            "{name}: {} messages, {} lines, {} waiting at the most, {} refused",
+            came.messages, came.lines, came.lines_waiting_most, came.refused
+        );
+        let broken = &came.rules_broken;
+        println!("  {}", if broken.is_empty() { "rules kept".into() } else { broken.join("; ") });
+    }
+    let s = &compared.service;
+    println!("service, tries answered within the soft limit: was {:.4}", s.was);
+    match s.would {
+        Some((value, low, high)) => println!("  would be {value:.4}, 90% from {low:.4} to {high:.4}"),
+        None => println!("  would be unknown: the record does not say"),
+    }
+    println!(
+        "  support {:.3}; the estimate carries {:.0} of {:.0} s",
+        s.support, s.carries, compared.seconds
+    );
+    Ok(())
+}
+
 /// Cases stand in the log as JSON, in a JSON log once more escaped.
 fn cases(log: &str) -> Vec<Case> {
     let case = |line: &str| {
--- a/daemon/src/planner.rs
+++ b/daemon/src/planner.rs
@@ -17,6 +17,7 @@
 use runloom_netconf::session::{Bounds as SessionBounds, Broken, Heard, Role, Session};
 use runloom_netconf::tree::Element;
 use runloom_netconf::{BASE, NOTIFY};
+use runloom_record::{Happened as Recorded, Recorder};
 use runloom_roster::ledger::Ledger;
 use runloom_roster::{Change, Roster};
 use runloom_turn::{Bounds, Conn, Happened, Security, Turn, Why};
@@ -110,6 +111,9 @@
     /// Refusals that were logged, and when.
     refused: BTreeMap<(&'static str, u16, Option<usize>), Duration>,
     refusals_until: Duration,
+    record: Option<Recorder>,
+    /// Whether the record was stopped when last looked at, to tell of it once.
+    record_stopped: bool,
 }
 
 /// A point of the way of an edit.
@@ -178,6 +182,7 @@
         let mut driver = Driver::new(desk.fleet().clone(), seed, epoch);
         let mut roster = Roster::default();
         let known = roster.update(desk.fleet(), desk.listed());
+        let record = open_record(place, &mut driver, &desk, seed, epoch)?;
         driver.list(Listing::Remembered, known);
         let recorder = PrometheusBuilder::new().build_recorder();
         let handle = recorder.handle();
@@ -204,6 +209,8 @@
             confirmed: histogram()?,
             refused: BTreeMap::new(),
             refusals_until: Duration::ZERO,
+            record,
+            record_stopped: false,
         };
         let reachable = Reachable { edits: edits_at, home: home_at, metrics: metrics.map(|m| m.1) };
         tracing::info!(planner = %place.name, edits = %edits_at, home = %home_at, "planner started");
@@ -227,6 +234,9 @@
                 end = Some(turn.now() + Duration::from_secs(2));
             }
             if end.is_some_and(|end| turn.now() >= end || self.peers.is_empty()) {
+                if let Some(record) = self.record.take() {
+                    record.finish(turn.now());
+                }
                 return Ok(());
             }
         }
@@ -502,6 +512,26 @@
         self.settle();
         self.reply(turn);
         self.keep_list(now);
+        self.recorded(turn.now(), now);
+    }
+
+    /// Writes down what the driver was told and ordered in this turn.
+    fn recorded(&mut self, now: Duration, from: Duration) {
+        let (Some(record), Some(witness)) = (&mut self.record, &mut self.driver.witness) else { return };
+        for (at, mut what) in std::mem::take(witness) {
+            if let Recorded::Turn { took, .. } = &mut what {
+                *took = now.saturating_sub(from).as_micros() as u64;
+            }
+            record.push(at, what);
+        }
+        record.write(now);
+        let stopped = record.stopped().is_some();
+        if stopped && !self.record_stopped {
+            tracing::error!(why = record.stopped(), "recording stopped; planning goes on");
+        } else if !stopped && self.record_stopped {
+            tracing::info!(lost = record.lost(), "recording goes on");
+        }
+        self.record_stopped = stopped;
     }
 
     /// What was accepted is on disk before any reply leaves; one sync for all of a turn.
@@ -551,6 +581,7 @@
         let names: BTreeSet<String> = changes.iter().map(|(name, _)| name.clone()).collect();
         self.list_dirty |= !changes.is_empty();
         self.seed = self.seed.wrapping_add(1);
+        self.refit_noted(now);
         if self.driver.refit(self.desk.fleet().clone(), self.seed) {
             tracing::warn!(
                 "new facts: the decisions start over, proxies keep their tables until bound again"
@@ -570,6 +601,15 @@
         self.desk.ledger.decided(now, &names);
     }
 
+    fn refit_noted(&mut self, now: Duration) {
+        if self.driver.fleet() != self.desk.fleet() {
+            let what = Recorded::Refit { fleet: self.desk.fleet_text(), seed: self.seed };
+            if let Some(witness) = &mut self.driver.witness {
+                witness.push((now, what));
+            }
+        }
+    }
+
     /// A proxy that does not confirm in time holds up what others need: it is let go, and may join again.
     fn patience(&mut self, turn: &mut Turn, now: Duration) {
         let patience = self.desk.fleet().grace.reply;
@@ -677,6 +717,9 @@
     fn settle(&mut self) {
         let now = self.desk.now;
         for edit in self.desk.ledger.settle(now) {
+            if let Some(record) = &mut self.record {
+                record.push(now, Recorded::Edit { id: edit.id.clone(), who: edit.who.clone() });
+            }
             let after = now.saturating_sub(edit.took.unwrap_or(now)).as_millis();
             tracing::info!(edit = %edit.id, who = %edit.who, at = edit.at(), of = edit.of, after_ms = after as u64, "in force");
             let event = Element::new(STATE, "edit-in-force")
@@ -844,6 +887,25 @@
     }
 }
 
+/// The build, for a record: another one may decide otherwise.
+pub const BUILD: &str = concat!("runloom ", env!("CARGO_PKG_VERSION"));
+
+/// Opens the record, if the settings name a folder for it, and begins with the start itself.
+fn open_record(
+    place: &Place,
+    driver: &mut Driver,
+    desk: &Desk,
+    seed: u64,
+    epoch: u64,
+) -> Result<Option<Recorder>, Failed> {
+    let Some(folder) = &place.record else { return Ok(None) };
+    let terms = runloom_record::Terms { most: place.record_bytes, ..runloom_record::Terms::default() };
+    let recorder = Recorder::open(folder, terms)?;
+    let (build, planner, fleet) = (BUILD.to_string(), place.name.clone(), desk.fleet_text());
+    driver.witness = Some(vec![(Duration::ZERO, Recorded::Start { build, planner, seed, epoch, fleet })]);
+    Ok(Some(recorder))
+}
+
 /// Up to a minute, two digits.
 fn histogram() -> Result<Histogram<u64>, Failed> {
     Histogram::new_with_bounds(1, 60_000_000, 2).map_err(|e| Failed::Data(e.to_string()))
--- a/driver/src/lib.rs
+++ b/driver/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod sums;
 mod tables;
+pub mod witness;
 
 use runloom::ids::Ids;
 use runloom::interface::{Entry, Event, Found, Listing, Mode, Order, Proxy, Server, Table};
@@ -11,6 +12,7 @@
 use runloom_guard::{Guard, Terms};
 use runloom_model::fleet::Fleet;
 use runloom_model::order::Report;
+use runloom_record::Happened;
 use runloom_roster::Change;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::net::SocketAddr;
@@ -79,6 +81,9 @@
     /// Without it orders go out unjudged: for trials only.
     pub guarded: bool,
     pub spoil: Option<Spoil>,
+    /// All calls and what came of them, for a record; empty unless it is wanted.
+    pub witness: Option<Vec<(Duration, Happened)>>,
+    clock: Duration,
     flows: BTreeMap<(Server, usize), f64>,
     planner: Planner,
     fleet: Fleet,
@@ -114,6 +119,8 @@
             guard: Guard::new(Terms::of(&fleet.facts())),
             guarded: true,
             spoil: None,
+            witness: None,
+            clock: Duration::ZERO,
             flows: BTreeMap::new(),
             planner: Planner::default(),
             sums: Sums::new(fleet.report, fleet.report_lines),
@@ -152,6 +159,15 @@
         self.proxies.outside(proxy).map_or("?", String::as_str)
     }
 
+    /// The number of a server that was listed, and of a proxy that joined, by their names.
+    pub fn server(&self, name: &str) -> Option<Server> {
+        self.servers.known(name)
+    }
+
+    pub fn proxy(&self, name: &str) -> Option<Proxy> {
+        self.proxies.known(name)
+    }
+
     pub fn server_name(&self, server: Server) -> &str {
         self.servers.outside(server).map_or("?", String::as_str)
     }
@@ -200,6 +216,7 @@
 
     /// Tells the decisions of servers: the whole list as held before this start, or changes.
     pub fn list(&mut self, how: Listing, changes: Vec<(String, Change)>) {
+        self.note(|| witness::listed(how, &changes));
         let mut entries = Vec::new();
         for (name, change) in changes {
             let server = self.servers.index(name);
@@ -245,10 +262,10 @@
 
     /// A proxy joined: what it says of itself, and whether it holds nothing but what it started with.
     pub fn joined(&mut self, name: &str, zone: &str, rate: f64, fresh: bool) -> Proxy {
+        let (name_of, zone_of) = (name.to_string(), zone.to_string());
+        self.note(|| Happened::Joined { proxy: name_of, zone: zone_of, rate, fresh });
         let proxy = self.proxies.index(name.to_string());
-        if self.members.contains_key(&proxy) {
-            self.left(proxy);
-        }
+        self.drop_member(proxy);
         self.members.insert(proxy, Member { zone: zone.to_string(), ..Member::default() });
         self.tables.join(proxy);
         self.guard.joined(proxy, if rate.is_finite() { rate } else { 0.0 });
@@ -258,6 +275,18 @@
     }
 
     pub fn left(&mut self, proxy: Proxy) {
+        let name = self.proxy_name(proxy).to_string();
+        self.note(|| Happened::Left { proxy: name });
+        self.drop_member(proxy);
+    }
+
+    fn note(&mut self, what: impl FnOnce() -> Happened) {
+        if let Some(witness) = &mut self.witness {
+            witness.push((self.clock, what()));
+        }
+    }
+
+    fn drop_member(&mut self, proxy: Proxy) {
         if self.members.remove(&proxy).is_some() {
             self.tables.left(proxy);
             self.guard.left(proxy);
@@ -267,6 +296,12 @@
 
     /// The proxy confirmed the message of this number, and so all before it.
     pub fn applied(&mut self, now: Duration, proxy: Proxy, number: u64) {
+        let now = whole(now);
+        self.clock = now;
+        if self.witness.is_some() {
+            let name = self.proxy_name(proxy).to_string();
+            self.note(|| Happened::Applied { proxy: name, number });
+        }
         let Some(member) = self.members.get_mut(&proxy) else { return };
         self.guard.confirmed(proxy, number);
         while let Some(flying) = member.flying.front().copied().filter(|f| f.number <= number) {
@@ -281,6 +316,12 @@
 
     /// A report came. What names no known server or class is left out.
     pub fn report(&mut self, now: Duration, proxy: Proxy, report: &Report) {
+        let now = whole(now);
+        self.clock = now;
+        if self.witness.is_some() {
+            let name = self.proxy_name(proxy).to_string();
+            self.note(|| witness::reported(name, report));
+        }
         let Some(member) = self.members.get_mut(&proxy) else { return };
         member.report_at = Some(now);
         let zone = self.zones.index(member.zone.clone());
@@ -297,6 +338,11 @@
     }
 
     pub fn probed(&mut self, server: Server, found: Found, after: Duration, load: Vec<f64>) {
+        let after = whole(after);
+        if self.witness.is_some() {
+            let name = self.server_name(server).to_string();
+            self.note(|| witness::probed(name, found, after, &load));
+        }
         self.happened.push(Event::Probed { server, found, after, load });
     }
 
@@ -308,6 +354,8 @@
 
     /// Hands on all that happened, once, and gives what is to be done.
     pub fn turn(&mut self, now: Duration) -> (Vec<Deed>, Ordered) {
+        let now = whole(now);
+        self.clock = now;
         while let Some(std::cmp::Reverse((at, token))) = self.wakes.peek().copied() {
             if at > now {
                 break;
@@ -326,7 +374,14 @@
         if let Some(spoil) = &mut self.spoil {
             spoil(now, &mut orders);
         }
-        self.carry(now, orders)
+        let refused: u64 = self.guard.counts().values().sum();
+        let carried = self.carry(now, orders);
+        if self.witness.is_some() {
+            let refused = self.guard.counts().values().sum::<u64>() - refused;
+            let turn = witness::turned(self, &carried.0, refused);
+            self.note(|| turn);
+        }
+        carried
     }
 
     /// What reports say of loads, from this event on.
@@ -441,6 +496,11 @@
     }
 }
 
+/// Whole microseconds, as a record has them: decisions on finer times could not be replayed.
+fn whole(time: Duration) -> Duration {
+    Duration::from_micros(time.as_micros() as u64)
+}
+
 /// How far before the process's start the decisions' clock begins: longer than any server takes to warm.
 pub const LEAD: Duration = Duration::from_secs(3600);
 
--- /dev/null
+++ b/driver/src/witness.rs
@@ -0,0 +1,150 @@
+//! The driver's calls in the record's words, and back.
+
+use crate::{Deed, Driver};
+use runloom::interface::{Found, Listing};
+use runloom_model::order::{Came, Met, Report};
+use runloom_record::entry::{self, Happened};
+use runloom_roster::{Change, Server};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How probes end, by their number in a record.
+const FOUND: [Found; 6] =
+    [Found::Handled, Found::Failed, Found::TurnedAway, Found::NoAnswer, Found::NoConnection, Found::Nothing];
+
+fn bits(load: &[f64]) -> Vec<u64> {
+    load.iter().map(|v| v.to_bits()).collect()
+}
+
+fn values(load: &[u64]) -> Vec<f64> {
+    load.iter().map(|b| f64::from_bits(*b)).collect()
+}
+
+pub(crate) fn listed(how: Listing, changes: &[(String, Change)]) -> Happened {
+    let (mut servers, mut gone) = (vec![], vec![]);
+    for (name, change) in changes {
+        match change {
+            Change::Is(s) => servers.push(entry::Server {
+                name: name.clone(),
+                address: s.address.to_string(),
+                zone: s.zone.clone(),
+                kind: s.kind.clone(),
+                cell: s.cell,
+                draining: s.draining,
+                weight: s.weight,
+                started: s.started,
+            }),
+            Change::Gone => gone.push(name.clone()),
+        }
+    }
+    Happened::Listed { whole: how != Listing::Changes, servers, gone }
+}
+
+pub(crate) fn reported(proxy: String, report: &Report) -> Happened {
+    let met = |m: &Met| entry::Met {
+        server: m.server.clone(),
+        tries: m.tries,
+        failed: m.failed,
+        took: m.took.as_micros() as u64,
+        in_time: m.in_time,
+        load: bits(&m.load),
+    };
+    let came =
+        |c: &Came| entry::Came { class: c.class.clone(), queries: c.queries, unanswered: c.unanswered };
+    Happened::Report {
+        proxy,
+        span: report.span.as_micros() as u64,
+        met: report.met.iter().map(met).collect(),
+        came: report.came.iter().map(came).collect(),
+    }
+}
+
+pub(crate) fn probed(server: String, found: Found, after: Duration, load: &[f64]) -> Happened {
+    let found = FOUND.iter().position(|f| *f == found).unwrap_or(5) as u8;
+    Happened::Probed { server, found, after: after.as_micros() as u64, load: bits(load) }
+}
+
+/// What a turn came to. Texts that many proxies share are told once.
+pub(crate) fn turned(driver: &Driver, deeds: &[Deed], refused: u64) -> Happened {
+    let (mut texts, mut places, mut sent, mut probes, mut log) =
+        (vec![], BTreeMap::new(), vec![], vec![], vec![]);
+    for deed in deeds {
+        match deed {
+            Deed::Send { proxy, number, body, lines } => {
+                let text = *places.entry(Rc::as_ptr(body) as *const u8 as usize).or_insert_with(|| {
+                    texts.push(body.to_string());
+                    texts.len() as u32 - 1
+                });
+                let proxy = driver.proxy_name(*proxy).to_string();
+                sent.push(entry::Sent { proxy, number: *number, text, lines: *lines as u32 });
+            }
+            Deed::Probe { server, .. } => probes.push(driver.server_name(*server).to_string()),
+            Deed::Log { text } => log.push(text.clone()),
+        }
+    }
+    // The newest refusals, as many as this turn had, each by its reason.
+    let newest = driver.guard().refusals().collect::<Vec<_>>();
+    let from = newest.len().saturating_sub(refused as usize);
+    let refused = newest[from..].iter().map(|r| format!("{} {:?}", r.reason.word(), r.order)).collect();
+    Happened::Turn { took: 0, texts, sent, probes, log, refused }
+}
+
+/// Makes the call that an entry tells of. A turn is not made here; false: the entry names what is not there.
+pub fn call(driver: &mut Driver, at: Duration, what: &Happened) -> bool {
+    match what {
+        Happened::Listed { whole, servers, gone } => {
+            let mut changes: Vec<(String, Change)> = Vec::new();
+            for s in servers {
+                let Ok(address) = s.address.parse() else { return false };
+                let server = Server {
+                    address,
+                    zone: s.zone.clone(),
+                    kind: s.kind.clone(),
+                    cell: s.cell,
+                    draining: s.draining,
+                    weight: s.weight,
+                    started: s.started,
+                };
+                changes.push((s.name.clone(), Change::Is(server)));
+            }
+            changes.extend(gone.iter().map(|name| (name.clone(), Change::Gone)));
+            driver.list(if *whole { Listing::Remembered } else { Listing::Changes }, changes);
+        }
+        Happened::Joined { proxy, zone, rate, fresh } => _ = driver.joined(proxy, zone, *rate, *fresh),
+        Happened::Left { proxy } => match driver.proxy(proxy) {
+            Some(proxy) => driver.left(proxy),
+            None => return false,
+        },
+        Happened::Applied { proxy, number } => match driver.proxy(proxy) {
+            Some(proxy) => driver.applied(at, proxy, *number),
+            None => return false,
+        },
+        Happened::Report { proxy, span, met, came } => {
+            let Some(proxy) = driver.proxy(proxy) else { return false };
+            let met = met.iter().map(|m| Met {
+                server: m.server.clone(),
+                tries: m.tries,
+                failed: m.failed,
+                took: Duration::from_micros(m.took),
+                in_time: m.in_time,
+                load: values(&m.load),
+            });
+            let came = came.iter().map(|c| Came {
+                class: c.class.clone(),
+                queries: c.queries,
+                unanswered: c.unanswered,
+            });
+            let report =
+                Report { span: Duration::from_micros(*span), met: met.collect(), came: came.collect() };
+            driver.report(at, proxy, &report);
+        }
+        Happened::Probed { server, found, after, load } => {
+            let Some(server) = driver.server(server) else { return false };
+            let found = FOUND.get(usize::from(*found)).copied().unwrap_or(Found::Nothing);
+            driver.probed(server, found, Duration::from_micros(*after), values(load));
+        }
+        _ => {}
+    }
+    true
+}
--- a/forward/src/lib.rs
+++ b/forward/src/lib.rs
@@ -32,6 +32,7 @@
     tries: u64,
     failed: u64,
     took: Duration,
+    in_time: u64,
     load: Vec<f64>,
 }
 
@@ -203,7 +204,9 @@
         let (server, class) = (query.server.clone(), query.class);
         let took = now.saturating_sub(query.tried_at);
         let good = how.is_good();
+        let in_time = good && now <= query.came_at + self.classes[class].soft_limit;
         self.met(now, &server, good, took, how.load());
+        self.servers.entry(server.clone()).or_default().in_time += u64::from(in_time);
         let query = self.queries.get_mut(&id)?;
         let allowed = query.may_try_again(now, &how, self.classes[class].repeats);
         if allowed {
@@ -266,9 +269,10 @@
                 tries: s.tries,
                 failed: s.failed,
                 took: s.took / good,
+                in_time: s.in_time,
                 load: std::mem::take(&mut s.load),
             });
-            (s.tries, s.failed, s.took) = (0, 0, Duration::ZERO);
+            (s.tries, s.failed, s.took, s.in_time) = (0, 0, Duration::ZERO, 0);
         }
         let came = self.classes.iter().zip(&mut self.came).map(|(class, came)| {
             let (queries, unanswered) = std::mem::take(came);
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -333,6 +333,9 @@
     pub home: SocketAddr,
     pub metrics: Option<SocketAddr>,
     pub folder: PathBuf,
+    /// Where what happens is recorded, if it is, and how many bytes of it are kept.
+    pub record: Option<PathBuf>,
+    pub record_bytes: u64,
     pub papers: Papers,
     /// `<fleet>` and `<roster>` as they are at the first start.
     pub data: Arc<Element>,
@@ -358,6 +361,11 @@
             home: address("home")?,
             metrics: planner.child("metrics").map(|_| address("metrics")).transpose()?,
             folder: PathBuf::from(r.text("folder")),
+            record: planner.child("record").and_then(|e| e.text_of("folder")).map(PathBuf::from),
+            record_bytes: planner
+                .child("record")
+                .and_then(|e| e.text_of("megabytes")?.parse::<u64>().ok())
+                .map_or(2 << 30, |mb| mb << 20),
             papers: Papers::read(planner),
             data: Arc::new(Element::new("", "data").with(fleet.clone()).with(roster.clone())),
         })
--- a/model/src/order.rs
+++ b/model/src/order.rs
@@ -140,8 +140,9 @@
     pub server: String,
     pub tries: u64,
     pub failed: u64,
-    /// Mean time of the good ones.
+    /// Mean time of the good ones, and how many of them were within their class's soft limit.
     pub took: Duration,
+    pub in_time: u64,
     /// The newest load report; NaN where a value is missing.
     pub load: Vec<f64>,
 }
@@ -169,7 +170,8 @@
                 .with_leaf("server", &met.server)
                 .with_leaf("tries", met.tries)
                 .with_leaf("failed", met.failed)
-                .with_leaf("took-us", met.took.as_micros());
+                .with_leaf("took-us", met.took.as_micros())
+                .with_leaf("in-time", met.in_time);
             for value in &met.load {
                 e = if value.is_finite() { e.with_leaf("load", value) } else { e.with_leaf("load", "-") };
             }
@@ -201,6 +203,7 @@
                 tries: number(m, "tries")?,
                 failed: number(m, "failed")?,
                 took: Duration::from_micros(number(m, "took-us")?),
+                in_time: number(m, "in-time").unwrap_or(0),
                 load: load.collect(),
             })
         });
--- /dev/null
+++ b/record/src/entry.rs
@@ -0,0 +1,155 @@
+//! One entry: when, and what. The driver's inputs are all here, so that a replay can make the same calls.
+
+use serde::{Deserialize, Serialize};
+
+/// The schema's version; a file of another one is refused, and says which it is.
+pub const VERSION: u32 = 1;
+
+/// A server as the list had it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Server {
+    pub name: String,
+    pub address: String,
+    pub zone: String,
+    pub kind: String,
+    pub cell: u64,
+    pub draining: bool,
+    pub weight: f64,
+    /// Milliseconds since 1970.
+    pub started: Option<u64>,
+}
+
+/// What a proxy met at a server over a span; times in microseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Met {
+    pub server: String,
+    pub tries: u64,
+    pub failed: u64,
+    pub took: u64,
+    /// Of the good ones, those within their class's soft limit.
+    pub in_time: u64,
+    /// The load report, each value's bits: a missing one is a NaN.
+    pub load: Vec<u64>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Came {
+    pub class: String,
+    pub queries: u64,
+    pub unanswered: u64,
+}
+
+/// One message that went out: to whom, under which number, and which of the turn's texts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sent {
+    pub proxy: String,
+    pub number: u64,
+    pub text: u32,
+    pub lines: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Happened {
+    /// A planner started: its build, its name, the seed, the wall clock at zero, and `<fleet>`.
+    Start {
+        build: String,
+        planner: String,
+        seed: u64,
+        epoch: u64,
+        fleet: String,
+    },
+    /// The list: whole as held before (`whole`) or changes; who is gone is named alone.
+    Listed {
+        whole: bool,
+        servers: Vec<Server>,
+        gone: Vec<String>,
+    },
+    /// The fleet was edited; the seed with which the decisions start over if its facts changed.
+    Refit {
+        fleet: String,
+        seed: u64,
+    },
+    Joined {
+        proxy: String,
+        zone: String,
+        rate: f64,
+        fresh: bool,
+    },
+    Left {
+        proxy: String,
+    },
+    Applied {
+        proxy: String,
+        number: u64,
+    },
+    Report {
+        proxy: String,
+        span: u64,
+        met: Vec<Met>,
+        came: Vec<Came>,
+    },
+    Probed {
+        server: String,
+        found: u8,
+        after: u64,
+        load: Vec<u64>,
+    },
+    Edit {
+        id: String,
+        who: String,
+    },
+    /// The decisions were asked; what they ordered. A turn without orders is kept all the same: it moved their
+    /// clock. `took`: microseconds.
+    Turn {
+        took: u64,
+        texts: Vec<String>,
+        sent: Vec<Sent>,
+        probes: Vec<String>,
+        log: Vec<String>,
+        refused: Vec<String>,
+    },
+    /// So many entries were lost here, since the disk was full.
+    Lost {
+        entries: u64,
+    },
+}
+
+/// One entry: microseconds since the planner's start, and what happened.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    pub at: u64,
+    pub what: Happened,
+}
+
+impl Happened {
+    /// A word for it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Happened::Start { .. } => "start",
+            Happened::Listed { .. } => "listed",
+            Happened::Refit { .. } => "refit",
+            Happened::Joined { .. } => "joined",
+            Happened::Left { .. } => "left",
+            Happened::Applied { .. } => "applied",
+            Happened::Report { .. } => "report",
+            Happened::Probed { .. } => "probed",
+            Happened::Edit { .. } => "edit",
+            Happened::Turn { .. } => "turn",
+            Happened::Lost { .. } => "lost",
+        }
+    }
+
+    /// Whom it is about, if it is about one.
+    pub fn name(&self) -> &str {
+        match self {
+            Happened::Start { planner, .. } => planner,
+            Happened::Joined { proxy, .. }
+            | Happened::Left { proxy }
+            | Happened::Applied { proxy, .. }
+            | Happened::Report { proxy, .. } => proxy,
+            Happened::Probed { server, .. } => server,
+            Happened::Edit { id, .. } => id,
+            _ => "",
+        }
+    }
+}
--- /dev/null
+++ b/record/src/lib.rs
@@ -0,0 +1,14 @@
+//! What happened and what was ordered, on disk. A planner writes an append-only journal of frames, each with its
+//! length and checksum; a segment that is closed becomes a columnar file (Parquet) that other tools read too.
+//! Killed at any moment, what was written before the last frame is there; a torn tail is cut, and told.
+
+pub mod columns;
+pub mod entry;
+pub mod folder;
+pub mod frames;
+
+pub use entry::{Entry, Happened};
+pub use folder::{Recorder, Segment, Terms};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/replay/src/other.rs
@@ -0,0 +1,194 @@
+//! Another setting on the same day: what would have been ordered, the rules that would have broken, and service.
+
+use crate::estimate::{Estimate, Service, Shares};
+use crate::force::Force;
+use crate::{at, fleet, set_out, turned, Unusable};
+use runloom_driver::witness::call;
+use runloom_driver::Driver;
+use runloom_model::fleet::Fleet;
+use runloom_record::entry::{Met, Sent};
+use runloom_record::{Entry, Happened};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// What is other than it was.
+#[derive(Debug, Clone, Default)]
+pub struct Setting {
+    pub fleet: Option<Fleet>,
+    pub seed: Option<u64>,
+    pub unguarded: bool,
+}
+
+/// What one setting came to.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Came {
+    pub rules_broken: Vec<String>,
+    pub messages: u64,
+    pub lines: u64,
+    pub lines_waiting_most: u64,
+    pub refused: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Compared {
+    pub was: Came,
+    pub would: Came,
+    pub service: Service,
+    /// Seconds of the record.
+    pub seconds: f64,
+}
+
+/// One of the two planners that are compared, and the tables as they come in force by it.
+struct Side {
+    driver: Driver,
+    force: Force,
+    /// Confirmations to come, where the record has none: when, to whom, which.
+    due: BTreeMap<(Duration, String), u64>,
+    refused: u64,
+}
+
+/// How long each proxy took to confirm, in the middle; the record's own way of the messages.
+fn lags(entries: &[Entry]) -> BTreeMap<String, Duration> {
+    let mut sent: BTreeMap<(String, u64), u64> = BTreeMap::new();
+    let mut lags: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for entry in entries {
+        match &entry.what {
+            Happened::Turn { sent: messages, .. } => {
+                messages.iter().for_each(|m| _ = sent.insert((m.proxy.clone(), m.number), entry.at));
+            }
+            Happened::Applied { proxy, number } => {
+                if let Some(from) = sent.remove(&(proxy.clone(), *number)) {
+                    lags.entry(proxy.clone()).or_default().push(entry.at.saturating_sub(from));
+                }
+            }
+            _ => {}
+        }
+    }
+    let middle = |mut all: Vec<u64>| {
+        all.sort_unstable();
+        Duration::from_micros(all[all.len() / 2])
+    };
+    lags.into_iter().map(|(proxy, all)| (proxy, middle(all))).collect()
+}
+
+impl Side {
+    fn turn(&mut self, now: Duration, lags: &BTreeMap<String, Duration>) {
+        self.driver.turn(now);
+        let Some(Happened::Turn { texts, sent, refused, .. }) = turned(&mut self.driver) else { return };
+        self.refused += refused.len() as u64;
+        for Sent { proxy, number, text, lines } in sent {
+            self.force.sent(now, &proxy, number, &texts[text as usize], lines);
+            let lag = lags.get(&proxy).copied().unwrap_or(Duration::from_millis(20));
+            self.due.insert((now + lag, proxy), number);
+        }
+    }
+
+    /// Lets time pass up to `to`: confirmations come, and the driver wakes by itself.
+    fn pass(&mut self, to: Duration, lags: &BTreeMap<String, Duration>) {
+        loop {
+            let confirm = self.due.first_key_value().map(|((at, _), _)| *at);
+            let wake = self.driver.wakes_at();
+            let Some(next) = [confirm, wake].into_iter().flatten().min().filter(|n| *n <= to) else { return };
+            if confirm == Some(next) {
+                if let Some(((_, proxy), number)) = self.due.pop_first() {
+                    if let Some(index) = self.driver.proxy(&proxy) {
+                        self.driver.applied(next, index, number);
+                    }
+                    self.force.applied(&proxy, number);
+                }
+            }
+            self.turn(next, lags);
+        }
+    }
+
+    fn take(
+        &mut self,
+        entry: &Entry,
+        lags: &BTreeMap<String, Duration>,
+        fixed: bool,
+    ) -> Result<(), Unusable> {
+        self.pass(at(entry), lags);
+        match &entry.what {
+            // These are its own, not the record's.
+            Happened::Turn { .. } | Happened::Applied { .. } | Happened::Lost { .. } => {}
+            Happened::Refit { .. } if fixed => {}
+            Happened::Refit { fleet: text, seed } => _ = self.driver.refit(fleet(text)?, *seed),
+            what => {
+                if let Happened::Left { proxy } = what {
+                    self.due.retain(|(_, p), _| p != proxy);
+                }
+                call(&mut self.driver, at(entry), what);
+                self.force.happened(entry);
+            }
+        }
+        if matches!(entry.what, Happened::Joined { .. } | Happened::Listed { .. }) {
+            self.turn(at(entry), lags);
+        }
+        self.force.look(at(entry));
+        Ok(())
+    }
+
+    fn came(&self) -> Came {
+        Came {
+            rules_broken: self.force.broken(),
+            messages: self.force.messages,
+            lines: self.force.lines,
+            lines_waiting_most: self.force.lines_most,
+            refused: self.refused,
+        }
+    }
+}
+
+fn side(entries: &[Entry], setting: &Setting) -> Result<Side, Unusable> {
+    let mut driver = set_out(entries, setting.fleet.as_ref(), setting.seed)?;
+    driver.guarded = !setting.unguarded;
+    let epoch =
+        if let Some(Happened::Start { epoch, .. }) = entries.first().map(|e| &e.what) { *epoch } else { 0 };
+    let force = Force::new(driver.fleet().clone(), epoch);
+    Ok(Side { driver, force, due: BTreeMap::new(), refused: 0 })
+}
+
+/// Plays the record under its own setting and under another one. Both sides have the same ways of messages, the
+/// record's middle one for each proxy, so that they differ by their setting alone. A fleet that stands in for the
+/// recorded one holds for the whole day: edits of it are left out on that side.
+pub fn compare(entries: &[Entry], setting: &Setting) -> Result<Compared, Unusable> {
+    let lags = lags(entries);
+    let (mut was, mut would) = (side(entries, &Setting::default())?, side(entries, setting)?);
+    let mut estimate = Estimate::default();
+    for entry in &entries[1..] {
+        was.take(entry, &lags, false)?;
+        would.take(entry, &lags, setting.fleet.is_some())?;
+        if let Happened::Report { proxy, met, came, .. } = &entry.what {
+            let weights: BTreeMap<&str, f64> =
+                came.iter().map(|c| (c.class.as_str(), c.queries as f64)).collect();
+            let shares = |side: &Side| shares(side, proxy, &weights);
+            if let (Some(old), Some(new)) = (shares(&was), shares(&would)) {
+                estimate.met(at(entry), &tallied(met), &old, &new);
+            }
+        }
+    }
+    let seconds = entries.last().map_or(0.0, |e| e.at as f64 / 1e6);
+    let mut service = estimate.service(1);
+    service.carries = service.carries.min(seconds);
+    Ok(Compared { was: was.came(), would: would.came(), service, seconds })
+}
+
+fn tallied(met: &[Met]) -> BTreeMap<String, (u64, u64)> {
+    met.iter().map(|m| (m.server.clone(), (m.tries, m.in_time))).collect()
+}
+
+/// What part of a proxy's queries each server gets by the tables in force there, its classes by what came.
+fn shares(side: &Side, proxy: &str, came: &BTreeMap<&str, f64>) -> Option<Shares> {
+    let held = side.force.held(proxy)?;
+    let all: f64 = came.values().sum();
+    let mut shares = Shares::new();
+    for (class, queries) in came {
+        let lines = held.lines(class);
+        let sum: f64 = lines.iter().map(|l| l.weight).sum();
+        for line in lines {
+            *shares.entry(line.server).or_insert(0.0) += line.weight / sum * queries / all.max(1.0);
+        }
+    }
+    Some(shares)
+}
--- a/rig/src/spoil.rs
+++ b/rig/src/spoil.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// The ways, by name.
-pub const NAMES: [&str; 12] = [
+pub const NAMES: [&str; 13] = [
     "drop-all",
     "one-by-one",
     "not-a-number",
@@ -17,8 +17,9 @@
     "at-once",
     "clear",
     "withdraw-all",
+    "halves",
     "bind-nowhere",
-    "drains-only",
+    "to-all-ever",
     "flood",
 ];
 
@@ -108,24 +109,17 @@
                 (0..3).for_each(|_| spoil(way, seen, turn, orders));
             }
         }
-        // Takes out what is well, and keeps what the decisions take out.
-        _ => {
-            let gone = |o: &Order| matches!(o, Order::Line { weight, .. } if *weight <= 0.0);
-            let taken: BTreeSet<(u16, usize)> = orders
-                .iter()
-                .filter(|o| gone(o))
-                .filter_map(|o| {
-                    if let Order::Line { table, server, .. } = o {
-                        Some((*table, *server))
-                    } else {
-                        None
-                    }
-                })
-                .collect();
-            if !taken.is_empty() {
-                orders.retain(|o| !gone(o));
-                orders.extend(seen.difference(&taken).map(|(t, s)| out(*t, *s)));
-            }
+        // Withdraws the even ones, then the odd ones: each batch leaves half of them.
+        "halves" => {
+            let servers = seen.iter().map(|(_, s)| *s).filter(|s| s % 2 == turn % 2);
+            orders.extend(
+                servers
+                    .collect::<BTreeSet<_>>()
+                    .into_iter()
+                    .map(|server| Order::Withdraw { server, out: true }),
+            );
         }
+        // Every server that ever was, those that drain and are gone too.
+        _ => weights(orders, &|w| w),
     }
 }
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -272,7 +272,7 @@
         let folder = self.folder.join(format!("state-{planner}"));
         format!(
             "<planner xmlns=\"urn:runloom:fleet\">\n<name>planner-{planner}</name><edits>{}</edits><home>{}</home>\
-             <metrics>{}</metrics><folder>{}</folder>\n{}\n<fleet>{zones}{classes}\n<grace><drain-ms>{}</drain-ms>\
+             <metrics>{}</metrics><folder>{}</folder>\n<record><folder>{}</folder></record>{}\n<fleet>{zones}{classes}\n<grace><drain-ms>{}</drain-ms>\
              <bare-ms>{}</bare-ms><reply-ms>1500</reply-ms></grace>\n<channel><lines-per-second>{}</lines-per-second>\
              <backlog>{}</backlog><overhead>4</overhead></channel>\n<cold><from>{COLD_FROM}\
              </from><warm-after-ms>{}</warm-after-ms></cold>\n<proxies><count>{}</count><planners>{}</planners><pick>{}\
@@ -283,6 +283,7 @@
             at[1],
             at[2],
             folder.display(),
+            self.folder.join(format!("record-{planner}")).display(),
             tls_xml(papers),
             ms(d.drain),
             ms(d.bare),
--- a/rig/tests/whole.rs
+++ b/rig/tests/whole.rs
@@ -325,6 +325,25 @@
     assert!(outcome.counts.no_line > 10, "{outcome:?}");
 }
 
+/// What a planner recorded, over a kill and a restart, replays to the same orders; the killed one's tail is torn
+/// at the worst.
+#[test]
+fn a_recorded_day_replays_to_the_same_orders_over_a_kill() {
+    let mut day = day(8, 6);
+    day.troubles =
+        vec![trouble(1, "crash", 2, 3), trouble(4, "planner-kill", 1, 1), trouble(6, "stream-break", 6, 0)];
+    day.edits = vec![drain(2, "d1", "s1", false)];
+    let folder = Folder::new("record");
+    let outcome = World::new(day, 9, &folder.0, &own(), &[]).unwrap().play().unwrap();
+    assert_eq!(outcome.broken, Vec::<String>::new());
+    for back in 0..2 {
+        let entries = runloom_record::folder::day(&folder.0.join("record-0"), back).unwrap();
+        let same = runloom_replay::exact::replay(&entries, runloom_daemon::planner::BUILD).unwrap();
+        assert_eq!(same.first, None, "{back}");
+        assert!(same.turns > 10 && same.messages >= 6, "{same:?}");
+    }
+}
+
 /// Ten thousand unsafe orders through a running planner: none reaches a forwarder, by what the sockets showed.
 #[test]
 fn ten_thousand_unsafe_orders_reach_no_forwarder() {
