Guard counts what withdrawn servers had; rule 4, gaps, a page and kills for the replay

An edit's entry stood before its planner's start in the record.

Change: shares without withdrawn lines, a withdrawal is a new version of its tables; rule 4 by reckoned load in a replay; missing segments are gaps; a page with plots; record output that may be cut off.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -12,6 +12,7 @@
 use runloom_netconf::tree::Element;
 use runloom_netconf::{BASE, NOTIFY};
 use runloom_record::Entry;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -106,6 +107,9 @@
         unguarded: bool,
         #[arg(long)]
         json: bool,
+        /// Writes the comparison as a page with plots.
+        #[arg(long)]
+        page: Option<PathBuf>,
     },
     /// Shows a planner's `state`, `fleet` or `roster`, or one edit.
     Show {
@@ -195,8 +199,8 @@
         }
         Command::Guard { command: GuardCommand::Explain { log, number } } => explain(&log, number),
         Command::Record { command } => record(&command),
-        Command::Replay { folder, back, fleet, seed, unguarded, json } => {
-            replayed(&folder, back, fleet.as_deref(), seed, unguarded, json)
+        Command::Replay { folder, back, fleet, seed, unguarded, json, page } => {
+            replayed(&folder, back, Other { fleet, seed, unguarded, page }, json)
         }
         Command::Show { to, what, edit } => show(&to, &what, edit.as_deref()),
     };
@@ -210,18 +214,39 @@
 }
 
 fn record(command: &RecordCommand) -> Result<(), String> {
+    match told_record(command, &mut std::io::stdout().lock()) {
+        // Who read it has seen enough.
+        Err(Told::Out(e)) if e.kind() == std::io::ErrorKind::BrokenPipe => Ok(()),
+        Err(Told::Out(e)) => Err(e.to_string()),
+        Err(Told::Record(why)) => Err(why),
+        Ok(()) => Ok(()),
+    }
+}
+
+enum Told {
+    Out(std::io::Error),
+    Record(String),
+}
+
+impl From<std::io::Error> for Told {
+    fn from(e: std::io::Error) -> Told {
+        Told::Out(e)
+    }
+}
+
+fn told_record(command: &RecordCommand, out: &mut impl Write) -> Result<(), Told> {
     let (RecordCommand::Ls { folder }
     | RecordCommand::Show { folder, .. }
     | RecordCommand::Export { folder }
     | RecordCommand::Verify { folder }) = command;
-    let told = |e: std::io::Error| format!("{}: {e}", folder.display());
+    let told = |e: std::io::Error| Told::Record(format!("{}: {e}", folder.display()));
     let mut bad = 0;
     for segment in runloom_record::folder::segments(folder).map_err(told)? {
         let (entries, torn) = match runloom_record::folder::read(&segment) {
             Ok(read) => read,
             Err(e) => {
                 bad += 1;
-                println!("{e}");
+                writeln!(out, "{e}")?;
                 continue;
             }
         };
@@ -233,12 +258,13 @@
                 let (from, to) = (seconds(span.0), seconds(span.1));
                 let tail =
                     if torn > 0 { format!(", a torn tail of {torn} bytes left out") } else { String::new() };
-                println!(
+                writeln!(
+                    out,
                     "{:08} {kind} {} bytes, {} entries, {from:.1} to {to:.1} s{tail}",
                     segment.number,
                     segment.bytes,
                     entries.len()
-                );
+                )?;
             }
             RecordCommand::Show { kind, name, .. } => {
                 let fits = |e: &&Entry| {
@@ -248,12 +274,12 @@
                 for e in entries.iter().filter(fits) {
                     let (queries, failed, lines) = runloom_record::columns::sums(&e.what);
                     let sums = format!("queries {queries} failed {failed} lines {lines}");
-                    println!("{:>12.6} {:8} {:16} {sums}", seconds(e.at), e.what.kind(), e.what.name());
+                    writeln!(out, "{:>12.6} {:8} {:16} {sums}", seconds(e.at), e.what.kind(), e.what.name())?;
                 }
             }
             RecordCommand::Export { .. } => {
                 for e in &entries {
-                    println!("{}", serde_json::to_string(e).map_err(|e| e.to_string())?);
+                    writeln!(out, "{}", serde_json::to_string(e).map_err(|e| Told::Record(e.to_string()))?)?;
                 }
             }
         }
@@ -261,21 +287,23 @@
     if bad == 0 {
         Ok(())
     } else {
-        Err(format!("{bad} segments cannot be read"))
+        Err(Told::Record(format!("{bad} segments cannot be read")))
     }
 }
 
-fn replayed(
-    folder: &Path,
-    back: usize,
-    fleet: Option<&Path>,
+/// What is other than recorded, and where the page goes.
+struct Other {
+    fleet: Option<PathBuf>,
     seed: Option<u64>,
     unguarded: bool,
-    json: bool,
-) -> Result<(), String> {
+    page: Option<PathBuf>,
+}
+
+fn replayed(folder: &Path, back: usize, other: Other, json: bool) -> Result<(), String> {
+    let Other { fleet, seed, unguarded, page } = other;
     let entries = runloom_record::folder::day(folder, back).map_err(|e| e.to_string())?;
     let print = |value: serde_json::Value| println!("{value}");
-    if fleet.is_none() && seed.is_none() && !unguarded {
+    if fleet.is_none() && seed.is_none() && !unguarded && page.is_none() {
         let same = runloom_replay::exact::replay(&entries, BUILD).map_err(|e| e.to_string())?;
         match (&same.first, json) {
             (_, true) => print(serde_json::to_value(&same).map_err(|e| e.to_string())?),
@@ -288,11 +316,15 @@
         }
         return same.first.map_or(Ok(()), |d| Err(format!("it differs: {}", d.what)));
     }
-    let text =
-        fleet.map(|f| std::fs::read_to_string(f).map_err(|e| format!("{}: {e}", f.display()))).transpose()?;
+    let read = |f: &PathBuf| std::fs::read_to_string(f).map_err(|e| format!("{}: {e}", f.display()));
+    let text = fleet.as_ref().map(read).transpose()?;
     let fleet = text.map(|t| runloom_replay::fleet(&t)).transpose().map_err(|e| e.to_string())?;
     let setting = runloom_replay::other::Setting { fleet, seed, unguarded };
     let compared = runloom_replay::other::compare(&entries, &setting).map_err(|e| e.to_string())?;
+    if let Some(file) = page {
+        let page = runloom_replay::page::page(&format!("{}, start {back}", folder.display()), &compared)?;
+        std::fs::write(&file, page).map_err(|e| format!("{}: {e}", file.display()))?;
+    }
     if json {
         print(serde_json::to_value(&compared).map_err(|e| e.to_string())?);
         return Ok(());
--- a/daemon/src/planner.rs
+++ b/daemon/src/planner.rs
@@ -717,8 +717,8 @@
     fn settle(&mut self) {
         let now = self.desk.now;
         for edit in self.desk.ledger.settle(now) {
-            if let Some(record) = &mut self.record {
-                record.push(now, Recorded::Edit { id: edit.id.clone(), who: edit.who.clone() });
+            if let Some(witness) = &mut self.driver.witness {
+                witness.push((now, Recorded::Edit { id: edit.id.clone(), who: edit.who.clone() }));
             }
             let after = now.saturating_sub(edit.took.unwrap_or(now)).as_millis();
             tracing::info!(edit = %edit.id, who = %edit.who, at = edit.at(), of = edit.of, after_ms = after as u64, "in force");
--- a/guard/src/case.rs
+++ b/guard/src/case.rs
@@ -103,7 +103,7 @@
             Order::Line { server, weight, .. } => Some((server, weight)),
             _ => None,
         });
-        guard.tables.entry(self.table).or_default().version(lines.collect());
+        guard.tables.entry(self.table).or_default().version(lines.collect(), &Default::default());
         guard.bind(0, self.table, 0);
         let order = match (self.line, self.reason.as_str()) {
             (Some((server, weight)), _) => Order::Line { table: self.table, server, weight },
--- a/guard/src/lib.rs
+++ b/guard/src/lib.rs
@@ -356,6 +356,16 @@
                 _ => {}
             }
         }
+        if staged.withdrawn != self.withdrawn {
+            // What a withdrawn server had goes to the others: its tables are other ones by that.
+            let changed: BTreeSet<Server> =
+                staged.withdrawn.symmetric_difference(&self.withdrawn).copied().collect();
+            for (table, watched) in &self.tables {
+                if watched.lines().keys().any(|s| changed.contains(s)) {
+                    staged.tables.entry(*table).or_insert_with(|| watched.lines().clone());
+                }
+            }
+        }
         staged.moved = self.moves(&staged.binds);
         staged
     }
@@ -421,11 +431,6 @@
         let mut faults = BTreeMap::new();
         let mut touched: BTreeSet<Table> = staged.tables.keys().copied().collect();
         touched.extend(staged.binds.iter().map(|(_, t, _)| *t));
-        if staged.withdrawn != self.withdrawn {
-            let newly: BTreeSet<Server> = staged.withdrawn.difference(&self.withdrawn).copied().collect();
-            let holds = |w: &Watched| w.lines().keys().any(|s| newly.contains(s));
-            touched.extend(self.tables.iter().filter(|(_, w)| holds(w)).map(|(t, _)| *t));
-        }
         let (cold, can) = (self.cold_tables(now), self.reckoned_can());
         for table in touched {
             let old = self.lines(table);
@@ -507,7 +512,9 @@
             let size = |s: &Server| self.servers.get(*s).map_or(0.0, |k| k.weight) * self.part(*s, now);
             let all: f64 = self.pickable(new, &staged.withdrawn).map(|s| size(&s)).sum();
             let even = 1.5 * size(&server) / all.max(f64::MIN_POSITIVE);
-            (watch::share(&old, server), watch::share(new, server), even)
+            let part =
+                |lines: &Lines, out: &BTreeSet<Server>| watch::share(&watch::effective(lines, out), server);
+            (part(&old, &self.withdrawn), part(new, &staged.withdrawn), even)
         } else {
             let Some(bound) = can.and_then(|can| self.bound(server, now, can)) else { return };
             (self.load(server, tables, None), self.load(server, tables, Some(staged)), bound)
@@ -562,7 +569,9 @@
         let newly =
             changed.iter().filter(|(t, l)| l.contains_key(&server) && !tables.contains(t)).map(|(t, _)| t);
         let watched = tables.iter().chain(newly).filter_map(|t| Some((t, self.tables.get(t)?)));
-        let mut load: f64 = watched.map(|(t, w)| w.load(server, changed.get(t))).sum();
+        let out = staged.map_or(&self.withdrawn, |s| &s.withdrawn);
+        let next = |t: &Table| changed.get(t).map(|lines| watch::effective(lines, out));
+        let mut load: f64 = watched.map(|(t, w)| w.load(server, next(t).as_ref())).sum();
         let Some(staged) = staged else { return load };
         for (proxy, table, mask) in &staged.binds {
             let Some(member) = self.members.get(proxy) else { continue };
@@ -572,7 +581,7 @@
                 .map(|c| member.rates[c])
                 .sum();
             let lines = staged.tables.get(table).or_else(|| self.tables.get(table).map(Watched::lines));
-            load += rate * lines.map_or(0.0, |lines| watch::share(lines, server));
+            load += rate * lines.map_or(0.0, |lines| watch::share(&watch::effective(lines, out), server));
         }
         load
     }
@@ -606,7 +615,7 @@
             judged.held.push(Held { order, weight });
         }
         for (table, lines) in staged.tables {
-            self.tables.entry(table).or_default().version(lines);
+            self.tables.entry(table).or_default().version(lines, &staged.withdrawn);
         }
         for (proxy, table, mask) in staged.binds {
             self.bind(proxy, table, mask);
--- a/guard/src/watch.rs
+++ b/guard/src/watch.rs
@@ -15,6 +15,11 @@
     lines.get(&server).map_or(0.0, |w| w / all.max(f64::MIN_POSITIVE))
 }
 
+/// Lines without those to withdrawn servers.
+pub fn effective(lines: &Lines, withdrawn: &BTreeSet<Server>) -> Lines {
+    lines.iter().filter(|(s, _)| !withdrawn.contains(s)).map(|(s, w)| (*s, *w)).collect()
+}
+
 #[derive(Debug)]
 struct On {
     /// The version confirmed last, or the one that it was bound with.
@@ -28,6 +33,8 @@
 #[derive(Debug, Default)]
 pub struct Watched {
     lines: Lines,
+    /// Without those that are withdrawn: their part goes to the others.
+    effective: Lines,
     newest: u64,
     /// Older versions that may be in force somewhere, oldest first: their number and each server's share.
     older: VecDeque<(u64, BTreeMap<Server, f64>)>,
@@ -61,13 +68,14 @@
         self.lines.keys().chain(older).copied().collect()
     }
 
-    /// A new version goes out.
-    pub fn version(&mut self, lines: Lines) {
+    /// A new version goes out: lines, or withdrawals of servers in it, changed.
+    pub fn version(&mut self, lines: Lines, withdrawn: &BTreeSet<Server>) {
         if !self.proxies.is_empty() && self.newest > 0 {
-            let all: f64 = self.lines.values().sum();
-            let shares = self.lines.iter().map(|(s, w)| (*s, w / all.max(f64::MIN_POSITIVE))).collect();
+            let all: f64 = self.effective.values().sum();
+            let shares = self.effective.iter().map(|(s, w)| (*s, w / all.max(f64::MIN_POSITIVE))).collect();
             self.older.push_back((self.newest, shares));
         }
+        self.effective = effective(&lines, withdrawn);
         (self.lines, self.newest) = (lines, self.newest + 1);
         self.prune();
     }
@@ -149,7 +157,7 @@
     /// The most that the proxies on it may send to a server, each on any version from the one it confirmed on;
     /// with a version that is to come, also on that one.
     pub fn load(&self, server: Server, next: Option<&Lines>) -> f64 {
-        let mut most = share(&self.lines, server).max(next.map_or(0.0, |n| share(n, server)));
+        let mut most = share(&self.effective, server).max(next.map_or(0.0, |n| share(n, server)));
         let mut load = 0.0;
         let mut older = self.older.iter().rev().peekable();
         // From the newest back: what a proxy at a version may be on is that version or any after it.
--- a/guard/tests/naive.rs
+++ b/guard/tests/naive.rs
@@ -129,6 +129,18 @@
     assert_eq!(guard.judge(NOW, vec![line(3, 2, 1.2)]).held.len(), 0);
 }
 
+/// What a withdrawn server had goes to the others, cold ones too.
+#[test]
+fn a_withdrawal_that_heaps_queries_on_a_cold_server_is_refused() {
+    let mut guard = small();
+    assert_eq!(guard.judge(NOW, vec![line(1, 2, 0.5)]).held.len(), 0);
+    assert_eq!(guard.judge(NOW, vec![Order::Withdraw { server: 0, out: true }]).passed.len(), 0);
+    let warm = NOW + Duration::from_secs(10);
+    assert_eq!(guard.judge(warm, vec![Order::Withdraw { server: 0, out: true }]).held.len(), 0);
+    assert_eq!(guard.judge(warm, vec![Order::Withdraw { server: 1, out: true }]).held.len(), 0);
+    assert_eq!(guard.judge(warm, vec![Order::Withdraw { server: 2, out: true }]).passed.len(), 0);
+}
+
 #[test]
 fn planners_that_share_nothing_reckon_with_what_the_others_send() {
     let mut guard = Guard::new(Terms { planners: 2.0, ..terms() });
--- a/record/src/folder.rs
+++ b/record/src/folder.rs
@@ -255,8 +255,16 @@
 pub fn day(folder: &Path, back: usize) -> Result<Vec<Entry>, Unreadable> {
     let all = segments(folder).map_err(|e| Unreadable::Io(folder.to_path_buf(), e))?;
     let mut days: Vec<Vec<Entry>> = Vec::new();
+    let mut last: Option<&Segment> = None;
     for segment in &all {
-        for entry in read(segment)?.0 {
+        let (entries, _) = read(segment)?;
+        // A segment that is missing in the middle of a day is a gap in it; the count is not known.
+        let gap = last.is_some_and(|l| l.number + 1 != segment.number);
+        last = Some(segment);
+        if let Some((day, first)) = days.last_mut().zip(entries.first()).filter(|_| gap) {
+            day.push(Entry { at: first.at, what: Happened::Lost { entries: 0 } });
+        }
+        for entry in entries {
             if matches!(entry.what, Happened::Start { .. }) || days.is_empty() {
                 days.push(vec![]);
             }
--- a/record/src/tests.rs
+++ b/record/src/tests.rs
@@ -41,6 +41,42 @@
     bytes
 }
 
+proptest::proptest! {
+    /// Whatever a disk holds, reading it is an answer or a clear error, and takes no more than the file.
+    #[test]
+    fn any_bytes_are_read_without_a_panic(mut bytes in proptest::collection::vec(proptest::num::u8::ANY, 0..600), head: bool) {
+        if head {
+            bytes.splice(0..0, frames::head());
+        }
+        if let Ok(read) = frames::read(&bytes) {
+            proptest::prop_assert_eq!(read.whole + read.torn, bytes.len());
+        }
+        let mut file = Vec::new();
+        columns::write(&entries(4), &mut file).unwrap();
+        let cut = bytes.len() % file.len();
+        file[cut] ^= bytes.first().copied().unwrap_or(1) | 1;
+        let folder = Folder::new("bytes");
+        let path = folder.0.join("1.parquet");
+        std::fs::write(&path, &file).unwrap();
+        let _ = columns::read(std::fs::File::open(&path).unwrap());
+        std::fs::write(&path, &bytes).unwrap();
+        proptest::prop_assert!(columns::read(std::fs::File::open(&path).unwrap()).is_err());
+    }
+}
+
+#[test]
+fn a_segment_missing_in_the_middle_is_a_gap_in_the_day() {
+    let folder = Folder::new("gap");
+    let all = entries(9);
+    for (number, part) in [(1, &all[..3]), (2, &all[3..6]), (4, &all[6..])] {
+        std::fs::write(folder.0.join(format!("{number:08}.journal")), journal(part)).unwrap();
+    }
+    let read = day(&folder.0, 0).unwrap();
+    let gaps: Vec<usize> =
+        (0..read.len()).filter(|k| matches!(read[*k].what, Happened::Lost { .. })).collect();
+    assert_eq!((gaps, read.len()), (vec![6], 10));
+}
+
 struct Folder(PathBuf);
 
 impl Folder {
--- a/replay/src/estimate.rs
+++ b/replay/src/estimate.rs
@@ -77,6 +77,16 @@
         }
     }
 
+    /// Service over time: seconds, as recorded, and as it would have been where the estimate carries.
+    pub fn series(&self) -> Vec<(f64, f64, Option<f64>)> {
+        let carries = self.carries();
+        let point = |(key, b): (&u64, &Block)| {
+            let would = (*key < carries && b.tries > 0.0).then(|| b.good / b.tries);
+            ((key * BLOCK.as_secs()) as f64, if b.had > 0.0 { b.had_good / b.had } else { 0.0 }, would)
+        };
+        self.blocks.iter().map(point).collect()
+    }
+
     pub fn service(&self, seed: u64) -> Service {
         let carries = self.carries();
         let blocks: Vec<Block> = self.blocks.iter().filter(|(k, _)| **k < carries).map(|(_, b)| *b).collect();
--- a/replay/src/force.rs
+++ b/replay/src/force.rs
@@ -12,6 +12,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// The bench's span in which a cold server has to be sent too much.
+const COLD_SPAN: Duration = Duration::from_secs(3);
+/// Loads change with reports and orders, both of which come about once a second.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
 /// One proxy: what it holds, and what is on its way to it.
 #[derive(Default)]
 struct Place {
@@ -33,6 +38,15 @@
     closed: BTreeMap<String, Duration>,
     /// Server: started cold then; none: warm.
     open: BTreeMap<String, Option<u64>>,
+    weights: BTreeMap<String, f64>,
+    /// Queries a second by proxy and class; good answers a second by proxy and server; the best that a unit of
+    /// weight of a warm server was seen to take.
+    came: BTreeMap<(String, String), f64>,
+    good: BTreeMap<(String, String), f64>,
+    can: f64,
+    looked: Duration,
+    /// Cold servers that would be sent more than they can bear, since when.
+    pushed: BTreeMap<String, Duration>,
     epoch: u64,
     broken: BTreeSet<String>,
     pub lines_most: u64,
@@ -48,6 +62,12 @@
             places: BTreeMap::new(),
             closed: BTreeMap::new(),
             open: BTreeMap::new(),
+            weights: BTreeMap::new(),
+            came: BTreeMap::new(),
+            good: BTreeMap::new(),
+            can: 0.0,
+            looked: Duration::ZERO,
+            pushed: BTreeMap::new(),
             epoch,
             broken: BTreeSet::new(),
             lines_most: 0,
@@ -85,6 +105,7 @@
             }
             Happened::Listed { servers, gone, .. } => {
                 for s in servers {
+                    self.weights.insert(s.name.clone(), s.weight);
                     if s.draining {
                         self.closed.entry(s.name.clone()).or_insert(now);
                         self.open.remove(&s.name);
@@ -98,10 +119,65 @@
                     self.open.remove(name);
                 }
             }
+            Happened::Report { proxy, span, met, came } => {
+                let seconds = (*span as f64 / 1e6).max(0.1);
+                for c in came {
+                    self.came.insert((proxy.clone(), c.class.clone()), c.queries as f64 / seconds);
+                }
+                for m in met {
+                    let good = m.tries.saturating_sub(m.failed) as f64 / seconds;
+                    self.good.insert((m.server.clone(), proxy.clone()), good);
+                }
+            }
             _ => {}
         }
     }
 
+    /// Rule 4 by reckoned load, as the guard reckons it: what all proxies' tables would send to a cold server
+    /// against the stated multiple of what it can do at its age, for longer than the stated span.
+    fn look_cold(&mut self, now: Duration) {
+        let wall = self.epoch + now.as_millis() as u64;
+        let warm_after = self.fleet.warm_after.as_secs_f64().max(0.001);
+        let part = |started: &Option<u64>| {
+            let age = started.map_or(f64::MAX, |at| wall.saturating_sub(at) as f64 / 1000.0);
+            (self.fleet.cold_from + (1.0 - self.fleet.cold_from) * age / warm_after).min(1.0)
+        };
+        let weight = |name: &str| self.weights.get(name).copied().unwrap_or(1.0).max(1e-9);
+        for (name, _) in self.open.iter().filter(|(_, started)| part(started) >= 1.0) {
+            let good = self.good.range((name.clone(), String::new())..).take_while(|((s, _), _)| s == name);
+            self.can = self.can.max(good.map(|(_, g)| g).sum::<f64>() / weight(name));
+        }
+        let cold: Vec<(String, f64)> =
+            self.open.iter().map(|(n, s)| (n.clone(), part(s))).filter(|(_, p)| *p < 1.0).collect();
+        let mut over = BTreeMap::new();
+        for (name, part) in cold.iter().filter(|_| self.can > 0.0) {
+            let bound = self.fleet.cold_multiple * part * self.can * weight(name);
+            if self.load(name) > bound {
+                over.insert(name.clone(), self.pushed.get(name).copied().unwrap_or(now));
+            }
+        }
+        let late = over.iter().find(|(_, since)| now >= **since + COLD_SPAN).map(|(name, _)| name.clone());
+        self.broken.extend(late.map(|name| format!("rule 4: {name} would be pushed over")));
+        self.pushed = over;
+    }
+
+    /// Queries a second that the tables in force send to a server.
+    fn load(&self, server: &str) -> f64 {
+        let mut load = 0.0;
+        for (proxy, place) in &self.places {
+            for class in &self.fleet.classes {
+                let lines = place.held.lines(&class.name);
+                let all: f64 = lines.iter().map(|l| l.weight).sum();
+                let own = lines.iter().find(|l| l.server == server).map_or(0.0, |l| l.weight / all);
+                if own > 0.0 {
+                    let rate = self.came.get(&(proxy.clone(), class.name.clone())).copied().unwrap_or(0.0);
+                    load += own * rate;
+                }
+            }
+        }
+        load
+    }
+
     /// A message went out.
     pub fn sent(&mut self, now: Duration, proxy: &str, number: u64, text: &str, lines: u32) {
         (self.messages, self.lines) = (self.messages + 1, self.lines + u64::from(lines));
@@ -141,6 +217,10 @@
 
     /// Looks at all tables in force.
     pub fn look(&mut self, now: Duration) {
+        if now >= self.looked + LOOK_EVERY {
+            self.looked = now;
+            self.look_cold(now);
+        }
         let warm = |started: &Option<u64>| {
             let age = |at: &u64| (self.epoch + now.as_millis() as u64).saturating_sub(*at);
             started.as_ref().is_none_or(|at| age(at) >= self.fleet.warm_after.as_millis() as u64)
--- a/replay/src/lib.rs
+++ b/replay/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod exact;
 pub mod force;
 pub mod other;
+pub mod page;
 
 use runloom_driver::Driver;
 use runloom_model::fleet::Fleet;
--- a/replay/src/other.rs
+++ b/replay/src/other.rs
@@ -37,6 +37,10 @@
     pub service: Service,
     /// Seconds of the record.
     pub seconds: f64,
+    /// Service over time: seconds, was, would.
+    pub series: Vec<(f64, f64, Option<f64>)>,
+    /// Lines ordered over time: seconds, was, would.
+    pub lines: Vec<(f64, f64, f64)>,
 }
 
 /// One of the two planners that are compared, and the tables as they come in force by it.
@@ -156,9 +160,16 @@
     let lags = lags(entries);
     let (mut was, mut would) = (side(entries, &Setting::default())?, side(entries, setting)?);
     let mut estimate = Estimate::default();
+    let mut lines: Vec<(f64, f64, f64)> = vec![];
     for entry in &entries[1..] {
         was.take(entry, &lags, false)?;
         would.take(entry, &lags, setting.fleet.is_some())?;
+        let second = (entry.at / 1_000_000) as f64;
+        let point = (second, was.force.lines as f64, would.force.lines as f64);
+        match lines.last_mut().filter(|l| l.0 == second) {
+            Some(last) => *last = point,
+            None => lines.push(point),
+        }
         if let Happened::Report { proxy, met, came, .. } = &entry.what {
             let weights: BTreeMap<&str, f64> =
                 came.iter().map(|c| (c.class.as_str(), c.queries as f64)).collect();
@@ -171,7 +182,7 @@
     let seconds = entries.last().map_or(0.0, |e| e.at as f64 / 1e6);
     let mut service = estimate.service(1);
     service.carries = service.carries.min(seconds);
-    Ok(Compared { was: was.came(), would: would.came(), service, seconds })
+    Ok(Compared { was: was.came(), would: would.came(), service, seconds, series: estimate.series(), lines })
 }
 
 fn tallied(met: &[Met]) -> BTreeMap<String, (u64, u64)> {
--- a/replay/src/tests.rs
+++ b/replay/src/tests.rs
@@ -128,6 +128,10 @@
     let compared = compare(&day, &other).unwrap();
     assert_eq!(compared.was, same.was);
     assert!(compared.was.rules_broken.is_empty(), "{compared:?}");
+    let page = crate::page::page("a day & another", &compared).unwrap();
+    assert!(
+        page.matches("<svg").count() == 2 && page.contains("a day &amp; another") && page.contains("kept")
+    );
 }
 
 /// By tables that stay off the failing server service would have been higher, by just that.
@@ -186,3 +190,56 @@
         force.broken()
     );
 }
+
+#[test]
+fn a_cold_server_that_tables_heap_queries_on_breaks_rule_four() {
+    let fleet = crate::fleet(FLEET).unwrap();
+    let listed = |name: &str, started| runloom_record::entry::Server {
+        name: name.into(),
+        address: "127.0.0.1:9".into(),
+        zone: "a".into(),
+        kind: String::new(),
+        cell: 0,
+        draining: false,
+        weight: 1.0,
+        started,
+    };
+    let outcome = |cold: f64| {
+        let mut force = crate::force::Force::new(fleet.clone(), 1_000_000);
+        let what = [
+            Happened::Joined { proxy: "f".into(), zone: "a".into(), rate: 30.0, fresh: true },
+            Happened::Listed {
+                whole: true,
+                servers: vec![listed("w", None), listed("c", Some(1_000_000))],
+                gone: vec![],
+            },
+            Happened::Report {
+                proxy: "f".into(),
+                span: 1_000_000,
+                met: vec![runloom_record::entry::Met {
+                    server: "w".into(),
+                    tries: 10,
+                    failed: 0,
+                    took: 9,
+                    in_time: 9,
+                    load: vec![],
+                }],
+                came: vec![runloom_record::entry::Came { class: "q".into(), queries: 30, unanswered: 0 }],
+            },
+        ];
+        what.into_iter().for_each(|what| force.happened(&Entry { at: 0, what }));
+        let lines =
+            [("w".to_string(), ("127.0.0.1:9".to_string(), 1.0)), ("c".into(), ("127.0.0.1:9".into(), cold))];
+        let table = runloom_model::order::TableEdit { lines: lines.into(), ..Default::default() };
+        let binds = [("q".to_string(), 1)].into();
+        let message =
+            runloom_model::order::Message { tables: [(1, table)].into(), binds, ..Default::default() };
+        force.sent(Duration::ZERO, "f", 1, &message.to_text(), 3);
+        force.applied("f", 1);
+        (0..8).for_each(|k| force.look(Duration::from_millis(1000 + 500 * k)));
+        force.broken()
+    };
+    // Ten a second is what a warm one takes: at its start a cold one bears eight, a few seconds later thirteen.
+    assert_eq!(outcome(0.3), Vec::<String>::new());
+    assert_eq!(outcome(9.0), ["rule 4: c would be pushed over"]);
+}
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -44,6 +44,12 @@
     },
     /// Takes a measurement: edits, overhead, small, large, alone, guard, spoilt; one figure a line, `name value unit`.
     Measure { name: String },
+    /// Writes a record without end, for a test that kills it.
+    #[command(hide = true)]
+    Writes {
+        #[arg(long)]
+        folder: PathBuf,
+    },
     /// A planner's process, for the rig's own use.
     #[command(hide = true)]
     Planner {
@@ -71,6 +77,7 @@
         Command::Demo => play("demo", 1, Report::Text, None),
         Command::Day { file, seed, report, keep } => play(&file, seed, report, keep),
         Command::Measure { name } => measured(&name),
+        Command::Writes { folder } => runloom_rig::measure::writes(&folder).map(|()| true),
         Command::Planner { settings, seed, dies, spoil, unguarded } => {
             let dies = dies.as_deref().and_then(Dies::named);
             let spoil = spoil.as_deref().and_then(runloom_rig::spoil::named);
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -379,3 +379,22 @@
     rules.dedup_by_key(|b| b.split(':').next().unwrap_or_default().to_string());
     Ok((rules, outcome.service))
 }
+
+/// Writes a record until it is killed, or for a minute: entries count up from the start's own.
+pub fn writes(folder: &Path) -> Told {
+    use runloom_record::{Happened, Recorder, Terms};
+    let terms = Terms { segment: 20_000, sync: Duration::from_millis(5), ..Terms::default() };
+    let mut recorder = Recorder::open(folder, terms).map_err(|e| e.to_string())?;
+    let (build, planner, fleet) = (String::new(), String::new(), String::new());
+    recorder.push(Duration::ZERO, Happened::Start { build, planner, seed: 0, epoch: 0, fleet });
+    let start = Instant::now();
+    let mut k = 0;
+    while start.elapsed() < Duration::from_secs(60) {
+        for _ in 0..7 {
+            k += 1;
+            recorder.push(Duration::from_micros(k), Happened::Left { proxy: "f".repeat(k as usize % 90) });
+        }
+        recorder.write(start.elapsed());
+    }
+    Ok(())
+}
--- a/rig/src/spoil.rs
+++ b/rig/src/spoil.rs
@@ -106,7 +106,7 @@
                 "withdraw-all",
                 "bind-nowhere",
             ] {
-                (0..3).for_each(|_| spoil(way, seen, turn, orders));
+                (0..5).for_each(|_| spoil(way, seen, turn, orders));
             }
         }
         // Withdraws the even ones, then the odd ones: each batch leaves half of them.
--- a/rig/tests/whole.rs
+++ b/rig/tests/whole.rs
@@ -366,14 +366,16 @@
 /// The guard keeps the rules where the decisions are broken; without it they break.
 #[test]
 fn broken_decisions_break_no_rule_under_the_guard_and_do_without_it() {
-    for way in ["drop-all", "withdraw-all"] {
-        for guarded in [true, false] {
-            let folder = Folder::new(&format!("{way}-{guarded}"));
-            let (broken, service) =
-                runloom_rig::measure::spoilt_day(&folder.0, &own(), way, guarded).unwrap();
-            assert_eq!(broken.is_empty(), guarded, "{way} {guarded} {service}: {broken:?}");
+    std::thread::scope(|scope| {
+        for (way, guarded) in [("drop-all", true), ("drop-all", false), ("halves", true), ("halves", false)] {
+            scope.spawn(move || {
+                let folder = Folder::new(&format!("{way}-{guarded}"));
+                let (broken, service) =
+                    runloom_rig::measure::spoilt_day(&folder.0, &own(), way, guarded).unwrap();
+                assert_eq!(broken.is_empty(), guarded, "{way} {guarded} {service}: {broken:?}");
+            });
         }
-    }
+    });
 }
 
 #[test]
@@ -408,3 +410,33 @@
     let state = client.get(Element::new(STATE, "state").with(Element::new(STATE, "guard"))).unwrap();
     assert!(state.to_text().contains("<raised-until>"), "{}", state.to_text());
 }
+
+/// Killed two hundred times at whatever point: all that was written reads back, each start's entries counting up
+/// without a gap, and nothing is there twice.
+#[test]
+fn a_record_whose_writer_is_killed_two_hundred_times_reads_back_whole() {
+    let folder = Folder::new("kills");
+    let record = folder.0.join("record");
+    for k in 0..200u64 {
+        let mut child =
+            std::process::Command::new(own()).arg("writes").arg("--folder").arg(&record).spawn().unwrap();
+        // Times that fall on all parts of its way: start, first segment, closing segments.
+        std::thread::sleep(Duration::from_micros(2_000 + (k * 7919) % 23_000));
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+    let (mut starts, mut next, mut all) = (0, 0, 0u64);
+    for segment in runloom_record::folder::segments(&record).unwrap() {
+        let (entries, _) = runloom_record::folder::read(&segment).unwrap();
+        for entry in entries {
+            all += 1;
+            if matches!(entry.what, runloom_record::Happened::Start { .. }) {
+                (starts, next) = (starts + 1, 1);
+            } else {
+                assert_eq!(entry.at, next, "{segment:?}");
+                next += 1;
+            }
+        }
+    }
+    assert!(starts > 50 && all > 10_000, "{starts} starts, {all} entries");
+}
