Replay under another fleet retells the list; estimates need blocks to draw from

Cause: shares and operators' words are in the recorded list, so another fleet changed nothing; and one block of time gave an interval of no width. Looking at all tables at each entry took a minute for a minute of 150 x 107.

Change: the list is retold under the fleet that stands in, tables are looked at four times a second, loads are compared by shares, under four blocks nothing is said; refusals are found in both kinds of log.

Module and adapter untouched.

--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -488,3 +488,39 @@
     }
     client.close().map_err(|e| e.to_string())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use runloom::interface::{Mode, Order};
+    use runloom_guard::{Guard, Terms as GuardTerms};
+
+    /// A refusal stands in a text log as it is, in a JSON log once more escaped; both are found and judged anew.
+    #[test]
+    fn refusals_are_found_in_logs_of_both_kinds_and_judged_anew() {
+        let mut guard = Guard::new(GuardTerms {
+            classes: 1,
+            planners: 1.0,
+            cold_from: 0.2,
+            warm_after: Duration::from_secs(9),
+            multiple: 4.0,
+            only_drains_bind: false,
+        });
+        guard.listed(0, Mode::Ready, 1.0, None);
+        guard.joined(0, 5.0);
+        let line = |weight| Order::Line { table: 1, server: 0, weight };
+        guard.judge(Duration::ZERO, vec![line(1.0), Order::Bind { proxy: 0, table: 1, classes: 0 }]);
+        guard.judge(Duration::ZERO, vec![line(0.0)]);
+        let case = serde_json::to_string(guard.refusals().last().unwrap().case.as_ref().unwrap()).unwrap();
+        let text =
+            format!("2026-12-01T00:00:00Z  WARN runloom: refused reason=\"empties-table\" case={case}");
+        let json = format!(
+            "{{\"level\":\"WARN\",\"fields\":{{\"case\":{}}}}}",
+            serde_json::to_string(&case).unwrap()
+        );
+        let found = cases(&format!("another line\n{text}\n{json}\n"));
+        assert_eq!(found.len(), 2);
+        assert_eq!(found[0], found[1]);
+        assert_eq!(found[0].replay().map(|r| r.reason.word()), Some("empties-table"));
+    }
+}
--- a/replay/src/estimate.rs
+++ b/replay/src/estimate.rs
@@ -17,6 +17,8 @@
 /// The estimate carries while no server would get more than so many times what it had: its times are then its own.
 const LOAD_MOST: f64 = 1.5;
 const DRAWS: usize = 400;
+/// Fewer blocks than this have no spread to draw from: an interval of them would look surer than it is.
+const BLOCKS_LEAST: usize = 4;
 
 /// Shares of the servers in a proxy's tables, by name.
 pub type Shares = BTreeMap<String, f64>;
@@ -35,7 +37,7 @@
 #[derive(Debug, Default)]
 pub struct Estimate {
     blocks: BTreeMap<u64, Block>,
-    /// Tries by block and server: as they were, and as they would have been.
+    /// Queries by block and server: by the tables as they were, and as they would have been.
     loads: BTreeMap<(u64, String), (f64, f64)>,
 }
 
@@ -66,8 +68,10 @@
             block.tries += weight * *tries as f64;
             block.had_good += *good as f64;
             block.had += *tries as f64;
-            let load = self.loads.entry((key, server.clone())).or_default();
-            load.0 += *tries as f64;
+        }
+        // By its shares and not by its tries: what came before the first orders came by no table of a planner's.
+        for (server, share) in old {
+            self.loads.entry((key, server.clone())).or_default().0 += share * all as f64;
         }
         block.all += all as f64;
         for (server, share) in new {
@@ -93,18 +97,16 @@
         let sum = |of: fn(&Block) -> f64| blocks.iter().map(of).sum::<f64>();
         let part = |a: f64, b: f64| if b > 0.0 { a / b } else { 0.0 };
         let support = part(sum(|b| b.known), sum(|b| b.all));
-        let would = (support >= SUPPORT_LEAST && sum(|b| b.tries) > 0.0).then(|| {
+        let enough = blocks.len() >= BLOCKS_LEAST && support >= SUPPORT_LEAST && sum(|b| b.tries) > 0.0;
+        let would = enough.then(|| {
             let (low, high) = interval(&blocks, seed);
             (part(sum(|b| b.good), sum(|b| b.tries)), low, high)
         });
         let seconds = |block: u64| (block * BLOCK.as_secs()) as f64;
         let end = self.blocks.keys().next_back().map_or(0, |k| k + 1);
-        Service {
-            was: part(sum(|b| b.had_good), sum(|b| b.had)),
-            would,
-            support,
-            carries: seconds(carries.min(end)),
-        }
+        let all = |of: fn(&Block) -> f64| self.blocks.values().map(of).sum::<f64>();
+        let was = part(all(|b| b.had_good), all(|b| b.had));
+        Service { was, would, support, carries: seconds(carries.min(end)) }
     }
 
     /// The first block in which a server would have had far more than it had: from there on its times are unknown.
--- a/replay/src/force.rs
+++ b/replay/src/force.rs
@@ -14,8 +14,8 @@
 
 /// The bench's span in which a cold server has to be sent too much.
 const COLD_SPAN: Duration = Duration::from_secs(3);
-/// Loads change with reports and orders, both of which come about once a second.
-const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// Tables are looked at this often: little against graces of seconds, and reports come twice a second.
+const LOOK_EVERY: Duration = Duration::from_millis(250);
 
 /// One proxy: what it holds, and what is on its way to it.
 #[derive(Default)]
@@ -217,10 +217,11 @@
 
     /// Looks at all tables in force.
     pub fn look(&mut self, now: Duration) {
-        if now >= self.looked + LOOK_EVERY {
-            self.looked = now;
-            self.look_cold(now);
+        if now < self.looked + LOOK_EVERY {
+            return;
         }
+        self.looked = now;
+        self.look_cold(now);
         let warm = |started: &Option<u64>| {
             let age = |at: &u64| (self.epoch + now.as_millis() as u64).saturating_sub(*at);
             started.as_ref().is_none_or(|at| age(at) >= self.fleet.warm_after.as_millis() as u64)
--- a/replay/src/other.rs
+++ b/replay/src/other.rs
@@ -47,6 +47,9 @@
 struct Side {
     driver: Driver,
     force: Force,
+    /// The fleet as it was recorded at this time, and the one that stands in for it.
+    recorded: Fleet,
+    fixed: Option<Fleet>,
     /// Confirmations to come, where the record has none: when, to whom, which.
     due: BTreeMap<(Duration, String), u64>,
     refused: u64,
@@ -106,23 +109,45 @@
         }
     }
 
-    fn take(
-        &mut self,
-        entry: &Entry,
-        lags: &BTreeMap<String, Duration>,
-        fixed: bool,
-    ) -> Result<(), Unusable> {
+    /// The list as it would have been told under the fleet that stands in: shares and operators' words are in the
+    /// recorded weights and drains already.
+    fn retold(&self, what: &Happened) -> Option<Happened> {
+        let (Some(fixed), Happened::Listed { whole, servers, gone }) = (&self.fixed, what) else {
+            return None;
+        };
+        let mut servers = servers.clone();
+        for s in &mut servers {
+            let (was, now) = (self.recorded.words.get(&s.name), fixed.words.get(&s.name));
+            // Under an operator's weight the feed's is not known: it is taken for 1, as a list without weights has.
+            let base = match was.and_then(|w| w.weight) {
+                Some(_) => 1.0,
+                None => s.weight / self.recorded.share_of(&s.zone),
+            };
+            s.weight = now.and_then(|w| w.weight).unwrap_or(base) * fixed.share_of(&s.zone);
+            let by_word = was.is_some_and(|w| w.drain);
+            s.draining = (s.draining && !by_word) || now.is_some_and(|w| w.drain);
+        }
+        Some(Happened::Listed { whole: *whole, servers, gone: gone.clone() })
+    }
+
+    fn take(&mut self, entry: &Entry, lags: &BTreeMap<String, Duration>) -> Result<(), Unusable> {
         self.pass(at(entry), lags);
         match &entry.what {
             // These are its own, not the record's.
             Happened::Turn { .. } | Happened::Applied { .. } | Happened::Lost { .. } => {}
-            Happened::Refit { .. } if fixed => {}
-            Happened::Refit { fleet: text, seed } => _ = self.driver.refit(fleet(text)?, *seed),
+            Happened::Refit { fleet: text, seed } => {
+                self.recorded = fleet(text)?;
+                if self.fixed.is_none() {
+                    self.driver.refit(self.recorded.clone(), *seed);
+                }
+            }
             what => {
                 if let Happened::Left { proxy } = what {
                     self.due.retain(|(_, p), _| p != proxy);
                 }
-                call(&mut self.driver, at(entry), what);
+                let retold = self.retold(what).map(|what| Entry { at: entry.at, what });
+                let entry = retold.as_ref().unwrap_or(entry);
+                call(&mut self.driver, at(entry), &entry.what);
                 self.force.happened(entry);
             }
         }
@@ -150,7 +175,8 @@
     let epoch =
         if let Some(Happened::Start { epoch, .. }) = entries.first().map(|e| &e.what) { *epoch } else { 0 };
     let force = Force::new(driver.fleet().clone(), epoch);
-    Ok(Side { driver, force, due: BTreeMap::new(), refused: 0 })
+    let recorded = set_out(entries, None, None)?.fleet().clone();
+    Ok(Side { driver, force, recorded, fixed: setting.fleet.clone(), due: BTreeMap::new(), refused: 0 })
 }
 
 /// Plays the record under its own setting and under another one. Both sides have the same ways of messages, the
@@ -162,8 +188,8 @@
     let mut estimate = Estimate::default();
     let mut lines: Vec<(f64, f64, f64)> = vec![];
     for entry in &entries[1..] {
-        was.take(entry, &lags, false)?;
-        would.take(entry, &lags, setting.fleet.is_some())?;
+        was.take(entry, &lags)?;
+        would.take(entry, &lags)?;
         let second = (entry.at / 1_000_000) as f64;
         let point = (second, was.force.lines as f64, would.force.lines as f64);
         match lines.last_mut().filter(|l| l.0 == second) {
--- a/replay/src/tests.rs
+++ b/replay/src/tests.rs
@@ -128,6 +128,8 @@
     let compared = compare(&day, &other).unwrap();
     assert_eq!(compared.was, same.was);
     assert!(compared.was.rules_broken.is_empty(), "{compared:?}");
+    // Zone b at half of its weight: its late server s1 gets less, and service would have been higher.
+    assert!(compared.service.would.unwrap().0 > same.service.was + 0.02, "{compared:?}");
     let page = crate::page::page("a day & another", &compared).unwrap();
     assert!(
         page.matches("<svg").count() == 2 && page.contains("a day &amp; another") && page.contains("kept")
