--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -41,6 +41,12 @@
         /// Keeps settings, logs and state here.
         #[arg(long)]
         keep: Option<PathBuf>,
+        /// Breaks the decisions in this way, as `measure spoilt` does.
+        #[arg(long)]
+        spoil: Option<String>,
+        /// Without the guard.
+        #[arg(long)]
+        unguarded: bool,
     },
     /// Takes a measurement: edits, overhead, small, large, alone, guard, spoilt; one figure a line, `name value unit`.
     Measure { name: String },
@@ -74,8 +80,12 @@
     let filter = tracing_subscriber::EnvFilter::new(level);
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
     let outcome = match line.command {
-        Command::Demo => play("demo", 1, Report::Text, None),
-        Command::Day { file, seed, report, keep } => play(&file, seed, report, keep),
+        Command::Demo => play("demo", 1, Report::Text, None, &[]),
+        Command::Day { file, seed, report, keep, spoil, unguarded } => {
+            let mut trial: Vec<String> = spoil.map(|way| format!("--spoil={way}")).into_iter().collect();
+            trial.extend(unguarded.then(|| "--unguarded".to_string()));
+            play(&file, seed, report, keep, &trial)
+        }
         Command::Measure { name } => measured(&name),
         Command::Writes { folder } => runloom_rig::measure::writes(&folder).map(|()| true),
         Command::Planner { settings, seed, dies, spoil, unguarded } => {
@@ -95,7 +105,14 @@
     }
 }
 
-fn play(name: &str, seed: u64, report: Report, keep: Option<PathBuf>) -> Result<bool, String> {
+fn play(
+    name: &str,
+    seed: u64,
+    report: Report,
+    keep: Option<PathBuf>,
+    trial: &[String],
+) -> Result<bool, String> {
+    let trial: Vec<&str> = trial.iter().map(String::as_str).collect();
     let day = day::read(name)?;
     let kept = keep.is_some();
     let own = std::env::temp_dir().join(format!("runloom-rig-{}", std::process::id()));
@@ -110,7 +127,7 @@
     );
     let edits = day.edits.len() * day.planners;
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let outcome = World::new(day, seed, &folder, &own, &[]).and_then(|mut world| world.play());
+    let outcome = World::new(day, seed, &folder, &own, &trial).and_then(|mut world| world.play());
     if !kept {
         let _ = std::fs::remove_dir_all(&folder);
     }
