--- /dev/null
+++ b/publish/src/reader.rs
@@ -0,0 +1,104 @@
+//! The subscriber's side: it takes updates whole, never goes back, and asks anew where one is missing.
+
+use crate::{Change, Key, Part, Topic, Version};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// What became of a part.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Taken {
+    /// The update is whole: the table stands at this version.
+    Now(Version),
+    /// More parts are to come; the table is as it was.
+    Waits,
+    /// Of an earlier epoch or version than what is held: a message that was retained, or came late.
+    Stale,
+    /// It starts from what is not held, or a part is missing: a snapshot is wanted.
+    Lacks,
+}
+
+/// One table as it is held.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Held {
+    pub epoch: u64,
+    pub version: Version,
+    pub state: BTreeMap<Key, Rc<str>>,
+}
+
+/// Changes that wait for the rest of their update, at the most: twice the largest table that a fleet may have.
+const WAITING_MOST: usize = 16_384;
+
+#[derive(Debug)]
+struct Pending {
+    epoch: u64,
+    from: Option<Version>,
+    to: Version,
+    next: usize,
+    changes: Vec<Change>,
+}
+
+#[derive(Debug, Default)]
+pub struct Reader {
+    held: BTreeMap<Topic, Held>,
+    pending: BTreeMap<Topic, Pending>,
+}
+
+impl Reader {
+    pub fn held(&self, topic: Topic) -> Option<&Held> {
+        self.held.get(&topic)
+    }
+
+    /// Epoch and version, for a planner to go on from.
+    pub fn holds(&self, topic: Topic) -> Option<(u64, Version)> {
+        self.held.get(&topic).map(|h| (h.epoch, h.version))
+    }
+
+    /// The stream broke: half an update is none. Tables stay in force.
+    pub fn broke(&mut self) {
+        self.pending.clear();
+    }
+
+    pub fn take(&mut self, part: &Part) -> Taken {
+        let held = self.held.get(&part.topic);
+        if held.is_some_and(|h| (part.epoch, part.to) < (h.epoch, h.version)) {
+            return Taken::Stale;
+        }
+        let base = |h: &Held| h.epoch == part.epoch && Some(h.version) == part.from;
+        if part.from.is_some() && !held.is_some_and(base) {
+            self.pending.remove(&part.topic);
+            return Taken::Lacks;
+        }
+        if part.part == 0 {
+            let Part { epoch, from, to, .. } = *part;
+            self.pending.insert(part.topic, Pending { epoch, from, to, next: 0, changes: vec![] });
+        }
+        let same =
+            |p: &&mut Pending| (p.epoch, p.from, p.to, p.next) == (part.epoch, part.from, part.to, part.part);
+        let Some(pending) = self.pending.get_mut(&part.topic).filter(same) else {
+            self.pending.remove(&part.topic);
+            return Taken::Lacks;
+        };
+        pending.next += 1;
+        pending.changes.extend(part.changes.iter().cloned());
+        if pending.changes.len() > WAITING_MOST {
+            self.pending.remove(&part.topic);
+            return Taken::Lacks;
+        }
+        if pending.next < part.of {
+            return Taken::Waits;
+        }
+        let Some(whole) = self.pending.remove(&part.topic) else { return Taken::Lacks };
+        let held = self.held.entry(part.topic).or_default();
+        if whole.from.is_none() {
+            held.state.clear();
+        }
+        for Change { key, value } in whole.changes {
+            match value {
+                Some(value) => _ = held.state.insert(key, value),
+                None => _ = held.state.remove(&key),
+            }
+        }
+        (held.epoch, held.version) = (whole.epoch, whole.to);
+        Taken::Now(whole.to)
+    }
+}
--- a/record/src/frames.rs
+++ b/record/src/frames.rs
@@ -16,10 +16,15 @@
 
 /// Adds one entry to a buffer.
 pub fn push(entry: &Entry, out: &mut Vec<u8>) -> Result<(), postcard::Error> {
-    let payload = postcard::to_stdvec(entry)?;
-    out.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    out.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
-    out.extend_from_slice(&payload);
+    let from = out.len();
+    out.extend_from_slice(&[0; 8]);
+    if let Err(e) = postcard::to_io(entry, &mut *out) {
+        out.truncate(from);
+        return Err(e);
+    }
+    let (length, sum) = ((out.len() - from - 8) as u32, crc32fast::hash(&out[from + 8..]));
+    out[from..from + 4].copy_from_slice(&length.to_le_bytes());
+    out[from + 4..from + 8].copy_from_slice(&sum.to_le_bytes());
     Ok(())
 }
 
--- a/replay/src/infer.rs
+++ b/replay/src/infer.rs
@@ -117,8 +117,8 @@
     kills: Vec<(f64, f64)>,
     deaf: Vec<(f64, f64)>,
     fleets: Vec<(f64, Fleet)>,
-    /// Second, queries held, and the part of its cores that was busy.
-    held: Vec<(u64, f64, f64)>,
+    /// Second, and the part of a server's cores that was busy.
+    busy: Vec<(u64, f64)>,
     /// From, to, and how many times as much as in calm.
     surges: Vec<(f64, f64, f64)>,
     /// When the first queries were told of; the day's zero.
@@ -187,11 +187,11 @@
                 self.second(server, at).probes[kind] += 1;
             }
             Happened::Report { met, came, .. } => {
-                *self.came.entry((at / SPAN) as u64).or_default() +=
-                    came.iter().map(|c| c.queries).sum::<u64>();
-                if self.begin.is_none() && came.iter().any(|c| c.queries > 0) {
-                    self.begin = Some((at - SPAN / 2.0).max(0.0));
-                }
+                let queries: u64 = came.iter().map(|c| c.queries).sum();
+                let tries: u64 = met.iter().map(|m| m.tries).sum();
+                // Who is refused tries again: of two refusals one is a second try of the same query.
+                let again = queries.saturating_sub(tries) / 2;
+                *self.came.entry((at / SPAN) as u64).or_default() += queries - again;
                 met.iter().for_each(|m| self.met(at, m));
             }
             _ => {}
@@ -206,10 +206,9 @@
 
     fn met(&mut self, at: f64, m: &Met) {
         let load: Vec<f64> = m.load.iter().map(|b| f64::from_bits(*b)).collect();
-        if let [held, busy, ..] = load.as_slice() {
-            // Where more than half is busy, some of what is held waits.
-            if *busy < 0.5 && held.is_finite() {
-                self.held.push(((at / SPAN) as u64, *held, *busy));
+        if let [_, busy, ..] = load.as_slice() {
+            if busy.is_finite() {
+                self.busy.push(((at / SPAN) as u64, *busy));
             }
         }
         let second = self.second(&m.server, at);
@@ -543,8 +542,13 @@
         },
         Word::Share(..) => true,
     });
-    let held = sight.held.iter().filter(|h| !sight.surging(h.0 as f64 * SPAN));
-    let (held, busy) = held.fold((0.0, 0.0), |sum, h| (sum.0 + h.1, sum.1 + h.2));
+    let calm = |k: u64| !sight.surging(k as f64 * SPAN);
+    let busy = middle(sight.busy.iter().filter(|(k, _)| calm(*k)).map(|(_, busy)| *busy).collect());
+    let seconds = sight.servers.values().flat_map(|s| s.seconds.iter().filter(|(k, _)| calm(**k)));
+    let good = middle(seconds.map(|(_, s)| s.good() as f64 / SPAN).collect());
+    // Little's law: queries at a time in work are how many are done a second, times how long each takes. That counts
+    // what waits as well, so the quotient is too high rather than too low.
+    let working = good * usual / 1e6;
     Ok(Inferred {
         seconds: (sight.end - zero).max(1.0),
         servers: sight.first.len(),
@@ -552,9 +556,7 @@
         zones: sight.first.iter().map(|s| &sight.servers[s].zone).collect::<BTreeSet<_>>().len().max(1),
         rate: sight.calm() / SPAN * first.planners.max(1.0),
         work_ms: usual / 1000.0,
-        // Of those busy with a query a core each: held over busy is how many cores there are.
-        // Some of what is held waits, so the quotient is too high rather than too low.
-        cores: if busy > 0.0 { ((held / busy) as usize).max(1) } else { 2 },
+        cores: if busy > 0.0 { ((working / busy) as usize).max(1) } else { 2 },
         fleet: first,
         troubles,
         edits,
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -51,12 +51,15 @@
         #[arg(long)]
         fleet: Option<PathBuf>,
     },
-    /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, guard, spoilt, pairs; one figure a line, `name value unit`.
+    /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, recording, guard, spoilt, pairs; one figure a line, `name value unit`.
     Measure {
         name: String,
         /// Works in this folder and leaves it; pairs does not play anew what it finds there.
         #[arg(long)]
         keep: Option<PathBuf>,
+        /// Of the days that pairs plays.
+        #[arg(long, default_value_t = 5)]
+        seed: u64,
     },
     /// The digest of a record's orders, replayed.
     #[command(hide = true)]
@@ -97,7 +100,7 @@
             trial.extend(unguarded.then(|| "--unguarded".to_string()));
             read(&file, fleet).and_then(|day| play(&file, day, seed, report, keep, &trial))
         }
-        Command::Measure { name, keep } => measured(&name, keep),
+        Command::Measure { name, keep, seed } => measured(&name, keep, seed),
         Command::Again { folder, back } => again(&folder, back),
         Command::Writes { folder } => runloom_rig::measure::writes(&folder).map(|()| true),
         Command::Planner { settings, seed, dies, spoil, unguarded } => {
@@ -171,10 +174,14 @@
     Ok(true)
 }
 
-fn measured(name: &str, keep: Option<PathBuf>) -> Result<bool, String> {
+fn measured(name: &str, keep: Option<PathBuf>, seed: u64) -> Result<bool, String> {
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
     let passing = std::env::temp_dir().join(format!("runloom-measure-{}", std::process::id()));
-    let outcome = runloom_rig::measure::measure(name, keep.as_ref().unwrap_or(&passing), &own);
+    let place = keep.as_ref().unwrap_or(&passing);
+    let outcome = match name {
+        "pairs" => runloom_rig::pairs::pairs(place, &own, seed),
+        _ => runloom_rig::measure::measure(name, place, &own),
+    };
     let _ = std::fs::remove_dir_all(&passing);
     outcome.map(|()| true)
 }
