--- /dev/null
+++ b/mqtt/src/body.rs
@@ -0,0 +1,60 @@
+//! A part of an update as JSON, for proxies in any language; its topic is the message's.
+
+use runloom_publish::{Change, Key, Part, Topic, PART_MOST};
+use serde::{Deserialize, Serialize};
+
+#[derive(Serialize, Deserialize)]
+struct Body {
+    epoch: u64,
+    /// None: a snapshot.
+    from: Option<u64>,
+    to: u64,
+    part: usize,
+    of: usize,
+    changes: Vec<(What, String, Option<String>)>,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum What {
+    Withdrawn,
+    Line,
+    Level,
+}
+
+/// Parts of one update: a table of 8,192 keys, twice what a fleet may have.
+const PARTS_MOST: usize = 64;
+
+pub fn write(part: &Part) -> Vec<u8> {
+    let change = |c: &Change| {
+        let (what, name) = match &c.key {
+            Key::Withdrawn(name) => (What::Withdrawn, name),
+            Key::Line(name) => (What::Line, name),
+            Key::Level(name) => (What::Level, name),
+        };
+        (what, name.clone(), c.value.as_deref().map(String::from))
+    };
+    let changes = part.changes.iter().map(change).collect();
+    let Part { epoch, from, to, part, of, .. } = *part;
+    // Numbers, texts and lists of them are JSON whatever they hold.
+    serde_json::to_vec(&Body { epoch, from, to, part, of, changes }).unwrap_or_default()
+}
+
+/// Reads what [`write`] wrote; an error in words for what is none.
+pub fn read(topic: Topic, bytes: &[u8]) -> Result<Part, String> {
+    let body: Body = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+    let Body { epoch, from, to, part, of, changes } = body;
+    if part >= of || of > PARTS_MOST || changes.len() > PART_MOST || from.is_some_and(|from| from >= to) {
+        return Err("its numbers do not fit together".into());
+    }
+    let change = |(what, name, value): (What, String, Option<String>)| {
+        let key = match what {
+            What::Withdrawn => Key::Withdrawn(name),
+            What::Line => Key::Line(name),
+            What::Level => Key::Level(name),
+        };
+        Change { key, value: value.map(|v| v.as_str().into()) }
+    };
+    let changes: Vec<Change> = changes.into_iter().map(change).collect();
+    Ok(Part { topic, epoch, from, to, part, of, changes: changes.into() })
+}
--- /dev/null
+++ b/mqtt/src/names.rs
@@ -0,0 +1,109 @@
+//! Topics, and who may have them: `runloom/<planner>/<proxy>/<kind>/<table>` for tables, which the planner alone
+//! writes, and `runloom/<planner>/<proxy>/report`, which that proxy alone writes.
+
+use runloom_publish::{Kind, Topic};
+
+/// The first level of all topics.
+const ROOT: &str = "runloom";
+
+fn word(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Weights => "weights",
+        Kind::Subset => "subset",
+        Kind::Range => "range",
+    }
+}
+
+fn kind(word: &str) -> Option<Kind> {
+    [Kind::Weights, Kind::Subset, Kind::Range].into_iter().find(|k| self::word(*k) == word)
+}
+
+/// Whether a planner or proxy can be named in a topic: no level's end, no wildcard, no control character, and short.
+pub fn fits(name: &str) -> bool {
+    // As long as a name in the settings may be.
+    const MOST: usize = 128;
+    let bad = |c: char| matches!(c, '/' | '+' | '#' | '$') || c.is_control();
+    !name.is_empty() && name.len() <= MOST && !name.contains(bad)
+}
+
+pub fn table(planner: &str, proxy: &str, topic: Topic) -> String {
+    format!("{ROOT}/{planner}/{proxy}/{}/{}", word(topic.kind), topic.table)
+}
+
+pub fn report(planner: &str, proxy: &str) -> String {
+    format!("{ROOT}/{planner}/{proxy}/report")
+}
+
+/// The table that a topic's name stands for, if it is one of this proxy's.
+pub fn read_table(planner: &str, proxy: &str, name: &str) -> Option<Topic> {
+    let rest = name.strip_prefix(ROOT)?.strip_prefix('/')?.strip_prefix(planner)?.strip_prefix('/')?;
+    let (kind_of, number) = rest.strip_prefix(proxy)?.strip_prefix('/')?.split_once('/')?;
+    // One name for one table: neither 07 nor +7.
+    let table: u16 = number.parse().ok().filter(|n: &u16| n.to_string() == number)?;
+    Some(Topic { kind: kind(kind_of)?, table })
+}
+
+/// Which of its own tables a proxy wants.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wanted {
+    pub kind: Option<Kind>,
+    pub table: Option<u16>,
+}
+
+impl Wanted {
+    pub fn covers(&self, topic: Topic) -> bool {
+        self.kind.is_none_or(|k| k == topic.kind) && self.table.is_none_or(|t| t == topic.table)
+    }
+}
+
+/// Why a filter is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// It is not a filter by the protocol's rules.
+    Invalid,
+    /// It reaches what is not the proxy's to read.
+    NotIts,
+    /// Shared subscriptions would deal one proxy's orders among several.
+    Shared,
+}
+
+/// By the protocol (MQTT 5, 4.7.1): `#` is the last level and alone in it, `+` is alone in its level.
+fn valid(filter: &str) -> bool {
+    let levels: Vec<&str> = filter.split('/').collect();
+    let last = levels.len() - 1;
+    let level = |(k, l): (usize, &&str)| match *l {
+        "#" => k == last,
+        "+" => true,
+        l => !l.contains(['#', '+', '\0']),
+    };
+    !filter.is_empty() && levels.iter().enumerate().all(level)
+}
+
+/// What a proxy asks for with a filter. Its own name and its planner's must stand there in full: a wildcard in their
+/// place would reach others' tables, be it that none is published just now.
+pub fn wanted(planner: &str, proxy: &str, filter: &str) -> Result<Wanted, Refused> {
+    if filter.starts_with("$share/") {
+        return Err(Refused::Shared);
+    }
+    if !valid(filter) {
+        return Err(Refused::Invalid);
+    }
+    let levels: Vec<&str> = filter.split('/').collect();
+    let own = [ROOT, planner, proxy];
+    if levels.len() < 4 || levels[..3] != own {
+        return Err(Refused::NotIts);
+    }
+    let kind_of = |l: &str| match l {
+        "+" => Ok(None),
+        l => kind(l).map(Some).ok_or(Refused::NotIts),
+    };
+    let table_of = |l: &str| match l {
+        "+" | "#" => Ok(None),
+        l => l.parse().ok().filter(|n: &u16| n.to_string() == l).map(Some).ok_or(Refused::NotIts),
+    };
+    match levels[3..] {
+        ["#"] => Ok(Wanted { kind: None, table: None }),
+        [kind, table] => Ok(Wanted { kind: kind_of(kind)?, table: table_of(table)? }),
+        _ => Err(Refused::NotIts),
+    }
+}
