Publish: binds as a table of the proxy's own, told after the tables they name

A class must not go over to a table that is not held yet, and a drain in the old one must still arrive first. What takes servers out is told first, then tables, then binds.

--- a/mqtt/src/body.rs
+++ b/mqtt/src/body.rs
@@ -20,6 +20,7 @@
     Withdrawn,
     Line,
     Level,
+    Bind,
 }
 
 /// Parts of one update: a table of 8,192 keys, twice what a fleet may have.
@@ -31,6 +32,7 @@
             Key::Withdrawn(name) => (What::Withdrawn, name),
             Key::Line(name) => (What::Line, name),
             Key::Level(name) => (What::Level, name),
+            Key::Bind(class) => (What::Bind, class),
         };
         (what, name.clone(), c.value.as_deref().map(String::from))
     };
@@ -52,6 +54,7 @@
             What::Withdrawn => Key::Withdrawn(name),
             What::Line => Key::Line(name),
             What::Level => Key::Level(name),
+            What::Bind => Key::Bind(name),
         };
         Change { key, value: value.map(|v| v.as_str().into()) }
     };
--- a/mqtt/src/names.rs
+++ b/mqtt/src/names.rs
@@ -11,11 +11,12 @@
         Kind::Weights => "weights",
         Kind::Subset => "subset",
         Kind::Range => "range",
+        Kind::Binds => "binds",
     }
 }
 
 fn kind(word: &str) -> Option<Kind> {
-    [Kind::Weights, Kind::Subset, Kind::Range].into_iter().find(|k| self::word(*k) == word)
+    [Kind::Weights, Kind::Subset, Kind::Range, Kind::Binds].into_iter().find(|k| self::word(*k) == word)
 }
 
 /// Whether a planner or proxy can be named in a topic: no level's end, no wildcard, no control character, and short.
--- a/publish/src/lib.rs
+++ b/publish/src/lib.rs
@@ -16,6 +16,8 @@
     Weights,
     Subset,
     Range,
+    /// Which class of one proxy's queries goes by which table; its number is the proxy's.
+    Binds,
 }
 
 /// One table, as it is published.
@@ -35,6 +37,8 @@
     Withdrawn(String),
     Line(String),
     Level(String),
+    /// A class; its value is a table's number.
+    Bind(String),
 }
 
 /// One key's new value; none: it is there no more.
@@ -251,13 +255,14 @@
     }
 
     /// The next message to a subscriber, with its number; none: it has been told all, or has too many on their way.
-    /// Tables with something that takes a server out come first.
+    /// Tables with something that takes a server out come first, and binds last: a class goes over to a table once that
+    /// is held, and not before.
     pub fn next(&mut self, now: Duration, name: &str) -> Option<(u64, Part)> {
         let subscriber = self.subscribers.get_mut(name)?;
         if subscriber.flying.len() >= WINDOW {
             return None;
         }
-        let (mut chosen, mut urgent) = (None, false);
+        let mut chosen: Option<((bool, bool), Topic)> = None;
         for (topic, position) in &mut subscriber.positions {
             let Some(table) = self.tables.get_mut(topic) else { continue };
             if position.sending.is_none() && position.told != Some(table.version) {
@@ -267,11 +272,13 @@
             }
             let Some((_, _, update, next)) = &position.sending else { continue };
             let out = update[*next].first().is_some_and(Change::takes_out);
-            if chosen.is_none() || (out && !urgent) {
-                (chosen, urgent) = (Some(*topic), out);
+            // The least goes first: those that take out, then tables, then binds; among equals by their number.
+            let rank = ((!out, topic.kind == Kind::Binds), *topic);
+            if chosen.is_none_or(|c| rank < c) {
+                chosen = Some(rank);
             }
         }
-        let topic = chosen?;
+        let (_, topic) = chosen?;
         let position = subscriber.positions.get_mut(&topic)?;
         let (from, to, update, part) = position.sending.take()?;
         let (of, changes) = (update.len(), update[part].clone());
--- a/publish/src/tests.rs
+++ b/publish/src/tests.rs
@@ -310,3 +310,28 @@
     assert!(let_in[..198].iter().all(|n| n[1..].parse::<u64>().unwrap() % 3 == 0), "nothing held: first");
     assert_eq!((let_in[198].as_str(), let_in[199].as_str()), ("f1", "f590"), "then by age");
 }
+
+/// A class goes over from one table to another: whatever is told when, the subscriber holds a table before a bind to it,
+/// and a drain in the old table reaches it before either.
+#[test]
+fn a_bind_comes_after_its_table_and_a_drain_before_both() {
+    let binds = Topic { kind: Kind::Binds, table: 0 };
+    let to = |table: u16| Change { key: Key::Bind("q".into()), value: Some(table.to_string().into()) };
+    let mut publisher = Publisher::new(1);
+    publisher.step(TOPICS[0], (0..20).map(|s| line(s, Some(1))).collect());
+    publisher.step(binds, vec![to(1)]);
+    let stream = joined(&mut publisher, "f");
+    assert!(publisher.subscribe("f", binds, None));
+    let mut reader = Reader::default();
+    let order = |parts: &[Part]| parts.iter().map(|p| p.topic.kind).collect::<Vec<_>>();
+    let first = drain(&mut publisher, "f", stream, &mut reader);
+    assert_eq!(order(&first), [Kind::Weights, Kind::Subset, Kind::Binds]);
+    publisher.step(binds, vec![to(2)]);
+    publisher.step(TOPICS[1], (0..300).map(|s| line(s, Some(1))).collect());
+    publisher.step(TOPICS[0], vec![line(4, None)]);
+    let next = drain(&mut publisher, "f", stream, &mut reader);
+    assert_eq!(order(&next), [Kind::Weights, Kind::Subset, Kind::Subset, Kind::Subset, Kind::Binds]);
+    assert!(next[0].changes[0].takes_out());
+    let bound = reader.held(binds).unwrap().state[&Key::Bind("q".into())].clone();
+    assert_eq!(&*bound, "2");
+}
