Guard: a batch that withdraws the last warm servers is not excused by that (rule 4)

Where no warm server is open, cold ones are judged against each other, since somebody has to take the queries.

--- a/guard/src/lib.rs
+++ b/guard/src/lib.rs
@@ -483,10 +483,12 @@
     /// anywhere, or proxies are bound for the first time to a table that has none. What they hold from before
     /// may name servers that drain, and rule 3 comes before rule 4.
     fn evenly(&self, now: Duration, table: Table, staged: &Staged) -> bool {
-        let warm = |s: Server| self.part(s, now) >= 1.0 && self.open(s) && !staged.withdrawn.contains(&s);
-        if !(0..self.servers.len()).any(warm) {
+        // As it was before this batch: one that withdraws the last warm server is not excused by that.
+        let was = |s: Server| self.part(s, now) >= 1.0 && self.open(s) && !self.withdrawn.contains(&s);
+        if !(0..self.servers.len()).any(was) {
             return true;
         }
+        let warm = |s: Server| self.part(s, now) >= 1.0 && self.open(s) && !staged.withdrawn.contains(&s);
         let first = |(p, t, _): &(Proxy, Table, u64)| {
             *t == table && self.members.get(p).is_some_and(|m| m.binds.is_empty())
         };
--- a/guard/tests/naive.rs
+++ b/guard/tests/naive.rs
@@ -129,6 +129,17 @@
     assert_eq!(guard.judge(NOW, vec![line(3, 2, 1.2)]).held.len(), 0);
 }
 
+/// Once no warm server is open, cold ones are judged against each other, since somebody has to take the queries. A batch
+/// that makes it so itself is not excused by that: half of a fleet withdrawn at once pushed the cold rest over.
+#[test]
+fn a_batch_that_withdraws_the_last_warm_servers_is_refused() {
+    let mut guard = small();
+    guard.judge(NOW, vec![line(1, 2, 0.5)]);
+    let out = |server| Order::Withdraw { server, out: true };
+    assert_eq!(guard.judge(NOW, vec![out(0), out(1)]).passed, vec![]);
+    assert_eq!(reasons(&guard), ["shifts-to-cold", "shifts-to-cold"]);
+}
+
 /// What a withdrawn server had goes to the others, cold ones too.
 #[test]
 fn a_withdrawal_that_heaps_queries_on_a_cold_server_is_refused() {
