--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -318,12 +318,33 @@
     Ok(())
 }
 
+/// Replays a day with its own setting, a segment in memory at a time.
+fn same_again(folder: &Path, back: usize) -> Result<runloom_replay::exact::Same, String> {
+    use runloom_replay::exact::Replay;
+    let (mut replay, mut broken) = (None, None);
+    let mut take = |entry: Entry| {
+        let went = match &mut replay {
+            None => Replay::new(&entry, BUILD).map(|fresh| replay = Some(fresh)).map(|()| true),
+            Some(replay) => replay.take(&entry),
+        };
+        went.unwrap_or_else(|e| {
+            broken = Some(e.to_string());
+            false
+        })
+    };
+    runloom_record::folder::each(folder, back, &mut take).map_err(|e| e.to_string())?;
+    match (broken, replay) {
+        (Some(why), _) => Err(why),
+        (None, Some(replay)) => Ok(replay.done()),
+        (None, None) => Err("there is no such start in the record".into()),
+    }
+}
+
 fn replayed(folder: &Path, back: usize, other: Other, json: bool) -> Result<(), String> {
     let Other { fleet, seed, unguarded, page, until } = other;
-    let entries = runloom_record::folder::day(folder, back).map_err(|e| e.to_string())?;
     let print = |value: serde_json::Value| println!("{value}");
     if fleet.is_none() && seed.is_none() && !unguarded && page.is_none() && until.is_none() {
-        let same = runloom_replay::exact::replay(&entries, BUILD).map_err(|e| e.to_string())?;
+        let same = same_again(folder, back)?;
         match (&same.first, json) {
             (_, true) => print(serde_json::to_value(&same).map_err(|e| e.to_string())?),
             (None, _) => {
@@ -336,6 +357,7 @@
         }
         return same.first.map_or(Ok(()), |d| Err(format!("it differs: {}", d.what)));
     }
+    let entries = runloom_record::folder::day(folder, back).map_err(|e| e.to_string())?;
     let read = |f: &PathBuf| std::fs::read_to_string(f).map_err(|e| format!("{}: {e}", f.display()));
     let text = fleet.as_ref().map(read).transpose()?;
     let fleet = text.map(|t| runloom_replay::fleet(&t)).transpose().map_err(|e| e.to_string())?;
--- a/record/src/folder.rs
+++ b/record/src/folder.rs
@@ -261,36 +261,67 @@
 
 /// The whole record, a list of entries for each start of the planner; the first may lack its start, if that was old.
 pub fn days(folder: &Path) -> Result<Vec<Vec<Entry>>, Unreadable> {
-    let all = segments(folder).map_err(|e| Unreadable::Io(folder.to_path_buf(), e))?;
     let mut days: Vec<Vec<Entry>> = Vec::new();
-    let mut last: Option<&Segment> = None;
+    walk(folder, &mut |day, entry| {
+        days.resize_with(days.len().max(day + 1), Vec::new);
+        days[day].push(entry);
+        true
+    })?;
+    Ok(days)
+}
+
+/// The entries of the planner's last start, or the last but so many, one after the other while `take` wants more. No more
+/// than one segment is held in memory, however long the day was.
+pub fn each(folder: &Path, back: usize, take: &mut dyn FnMut(Entry) -> bool) -> Result<(), Unreadable> {
+    let mut last = None;
+    walk(folder, &mut |day, _| {
+        last = Some(day);
+        true
+    })?;
+    let Some(wanted) = last.and_then(|last| last.checked_sub(back)) else { return Ok(()) };
+    walk(folder, &mut |day, entry| if day == wanted { take(entry) } else { day < wanted })
+}
+
+/// All entries in order, each with the number of its start, until `take` wants no more.
+fn walk(folder: &Path, take: &mut dyn FnMut(usize, Entry) -> bool) -> Result<(), Unreadable> {
+    let all = segments(folder).map_err(|e| Unreadable::Io(folder.to_path_buf(), e))?;
+    let (mut day, mut last): (Option<usize>, Option<&Segment>) = (None, None);
     for segment in &all {
-        let entries = match read(segment) {
-            Ok((entries, _)) => entries,
-            // Its planner goes on meanwhile: it was made columnar, or went for its age, after the folder was read.
-            Err(Unreadable::Io(path, e)) if e.kind() == io::ErrorKind::NotFound => {
-                let path = path.with_extension("parquet");
-                match File::open(&path) {
-                    Ok(file) => columns::read(file).map_err(|e| Unreadable::Columns(path, e))?,
-                    Err(_) => continue,
-                }
-            }
-            Err(e) => return Err(e),
-        };
+        let Some(entries) = read_meanwhile(segment)? else { continue };
         // A segment that is missing in the middle of a day is a gap in it; the count is not known.
         let gap = last.is_some_and(|l| l.number + 1 != segment.number);
         last = Some(segment);
-        if let Some((day, first)) = days.last_mut().zip(entries.first()).filter(|_| gap) {
-            day.push(Entry { at: first.at, what: Happened::Lost { entries: 0 } });
+        if let Some((day, first)) = day.zip(entries.first()).filter(|_| gap) {
+            if !take(day, Entry { at: first.at, what: Happened::Lost { entries: 0 } }) {
+                return Ok(());
+            }
         }
         for entry in entries {
-            if matches!(entry.what, Happened::Start { .. }) || days.is_empty() {
-                days.push(vec![]);
+            let now = match day {
+                None => 0,
+                Some(day) => day + usize::from(matches!(entry.what, Happened::Start { .. })),
+            };
+            day = Some(now);
+            if !take(now, entry) {
+                return Ok(());
             }
-            if let Some(day) = days.last_mut() {
-                day.push(entry);
+        }
+    }
+    Ok(())
+}
+
+/// Its planner goes on meanwhile: a segment may have been made columnar, or have gone for its age, after the folder
+/// was read.
+fn read_meanwhile(segment: &Segment) -> Result<Option<Vec<Entry>>, Unreadable> {
+    match read(segment) {
+        Ok((entries, _)) => Ok(Some(entries)),
+        Err(Unreadable::Io(path, e)) if e.kind() == io::ErrorKind::NotFound => {
+            let path = path.with_extension("parquet");
+            match File::open(&path) {
+                Ok(file) => columns::read(file).map(Some).map_err(|e| Unreadable::Columns(path, e)),
+                Err(_) => Ok(None),
             }
         }
+        Err(e) => Err(e),
     }
-    Ok(days)
 }
--- a/record/src/tests.rs
+++ b/record/src/tests.rs
@@ -1,5 +1,5 @@
 use crate::entry::*;
-use crate::folder::{close, day, read, segments, Recorder, Segment, Terms};
+use crate::folder::{close, day, each, read, segments, Recorder, Segment, Terms};
 use crate::{columns, frames};
 use std::path::PathBuf;
 use std::time::Duration;
@@ -220,6 +220,13 @@
     }
     recorder.finish(Duration::from_secs(9));
     assert_eq!(day(&folder.0, 0).unwrap(), all);
+    let mut one_by_one = vec![];
+    each(&folder.0, 0, &mut |e| {
+        one_by_one.push(e);
+        one_by_one.len() < 3000
+    })
+    .unwrap();
+    assert_eq!(one_by_one, all[..3000]);
 }
 
 /// Version 1 had all kinds of entries but the last: it is read as it is. Others are refused by their number.
--- a/replay/src/exact.rs
+++ b/replay/src/exact.rs
@@ -2,6 +2,7 @@
 
 use crate::{at, fleet, set_out, turned, Unusable};
 use runloom_driver::witness::call;
+use runloom_driver::Driver;
 use runloom_record::entry::Sent;
 use runloom_record::{Entry, Happened};
 use serde::Serialize;
@@ -29,50 +30,89 @@
     pub first: Option<Difference>,
 }
 
-/// Replays a record with its own setting. `build` is this program's, for the reason of a difference.
-pub fn replay(entries: &[Entry], build: &str) -> Result<Same, Unusable> {
-    let mut driver = set_out(entries, None, None)?;
-    let mut same = Same::default();
-    let mut sum = Sha256::new();
-    for entry in &entries[1..] {
-        same.entries += 1;
+/// A replay under way, entry by entry.
+pub struct Replay {
+    driver: Driver,
+    same: Same,
+    sum: Sha256,
+    lost: bool,
+    recorded_by: String,
+    build: String,
+}
+
+impl Replay {
+    /// Sets out from a record's first entry, the planner's start. `build` is this program's, for the reason of a
+    /// difference.
+    pub fn new(first: &Entry, build: &str) -> Result<Replay, Unusable> {
+        let Happened::Start { build: theirs, .. } = &first.what else { return Err(Unusable::NoStart) };
+        Ok(Replay {
+            driver: set_out(std::slice::from_ref(first), None, None)?,
+            same: Same::default(),
+            sum: Sha256::new(),
+            lost: false,
+            recorded_by: theirs.clone(),
+            build: build.to_string(),
+        })
+    }
+
+    /// The next entry. False: it differs from here on, and nothing more is wanted.
+    pub fn take(&mut self, entry: &Entry) -> Result<bool, Unusable> {
+        self.same.entries += 1;
+        self.lost |= matches!(entry.what, Happened::Lost { .. });
         let difference = match &entry.what {
-            Happened::Turn { .. } => {
-                driver.turn(at(entry));
-                let ours = turned(&mut driver);
-                same.turns += 1;
-                if let Happened::Turn { sent, .. } = &entry.what {
-                    same.messages += sent.len() as u64;
-                }
+            Happened::Turn { sent, .. } => {
+                self.driver.turn(at(entry));
+                let ours = turned(&mut self.driver);
+                self.same.turns += 1;
+                self.same.messages += sent.len() as u64;
                 if let Some(Happened::Turn { texts, sent, .. }) = &ours {
-                    digest(&mut sum, texts, sent);
+                    digest(&mut self.sum, texts, sent);
                 }
                 differs(&entry.what, ours.as_ref())
             }
             Happened::Refit { fleet: text, seed } => {
-                driver.refit(fleet(text)?, *seed);
+                self.driver.refit(fleet(text)?, *seed);
                 None
             }
             Happened::Lost { entries } => Some(format!("{entries} entries were lost when the disk was full")),
-            what => (!call(&mut driver, at(entry), what))
+            what => (!call(&mut self.driver, at(entry), what))
                 .then(|| format!("{} of {} is not known", what.kind(), what.name())),
         };
-        if let Some(witness) = &mut driver.witness {
+        if let Some(witness) = &mut self.driver.witness {
             witness.clear();
         }
-        if let Some(what) = difference {
-            let lost = entries.iter().any(|e| matches!(e.what, Happened::Lost { .. }));
-            same.first = Some(Difference {
-                turns: same.turns.saturating_sub(1),
-                at: entry.at as f64 / 1e6,
-                what,
-                why: why(entries, build, lost),
-            });
+        let Some(what) = difference else { return Ok(true) };
+        let (turns, at, why) = (self.same.turns.saturating_sub(1), entry.at as f64 / 1e6, self.why());
+        self.same.first = Some(Difference { turns, at, what, why });
+        Ok(false)
+    }
+
+    fn why(&self) -> String {
+        match () {
+            () if self.lost => "the record has a gap".into(),
+            () if self.recorded_by != self.build => {
+                format!("it was recorded by {}, this is {}", self.recorded_by, self.build)
+            }
+            () => "same build: the decisions were changed without a new version, or the record was".into(),
+        }
+    }
+
+    pub fn done(mut self) -> Same {
+        self.same.digest = self.sum.finalize().iter().map(|b| format!("{b:02x}")).collect();
+        self.same
+    }
+}
+
+/// Replays a record with its own setting.
+pub fn replay(entries: &[Entry], build: &str) -> Result<Same, Unusable> {
+    let (first, rest) = entries.split_first().ok_or(Unusable::NoStart)?;
+    let mut replay = Replay::new(first, build)?;
+    for entry in rest {
+        if !replay.take(entry)? {
             break;
         }
     }
-    same.digest = sum.finalize().iter().map(|b| format!("{b:02x}")).collect();
-    Ok(same)
+    Ok(replay.done())
 }
 
 fn digest(sum: &mut Sha256, texts: &[String], sent: &[Sent]) {
@@ -83,16 +123,6 @@
     }
 }
 
-fn why(entries: &[Entry], build: &str, lost: bool) -> String {
-    match entries.first().map(|e| &e.what) {
-        _ if lost => "the record has a gap".into(),
-        Some(Happened::Start { build: theirs, .. }) if theirs != build => {
-            format!("it was recorded by {theirs}, this is {build}")
-        }
-        _ => "same build: the decisions were changed without a new version, or the record was".into(),
-    }
-}
-
 /// What two turns differ in, if they do; how long they took is no matter.
 fn differs(theirs: &Happened, ours: Option<&Happened>) -> Option<String> {
     let Happened::Turn { texts, sent, probes, log, refused, .. } = theirs else { return None };
