Publish: whole bundles, steps that only ask, tables started over without false confirmations

Change: bundle, touch, replace, start-over by message number; what has not begun to go out is reckoned anew; Kind::Withdrawn; filters (Wanted) belong to the core.

--- a/publish/src/lib.rs
+++ b/publish/src/lib.rs
@@ -16,6 +16,8 @@
     Weights,
     Subset,
     Range,
+    /// Servers that are out whatever other tables say; there is one such table.
+    Withdrawn,
     /// Which class of one proxy's queries goes by which table; its number is the proxy's.
     Binds,
 }
@@ -27,6 +29,21 @@
     pub table: u16,
 }
 
+/// Which tables a subscriber wants, of those that it is to go by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wanted {
+    pub kind: Option<Kind>,
+    pub table: Option<u16>,
+}
+
+impl Wanted {
+    pub const ALL: Wanted = Wanted { kind: None, table: None };
+
+    pub fn covers(&self, topic: Topic) -> bool {
+        self.kind.is_none_or(|k| k == topic.kind) && self.table.is_none_or(|t| t == topic.table)
+    }
+}
+
 /// A step from one state of a table to the next.
 pub type Version = u64;
 
@@ -76,8 +93,9 @@
 /// A run is kept while it holds no more changes than the table has keys, for then the snapshot is the shorter way;
 /// small tables keep so many, which cost little.
 const RUN_LEAST: usize = 64;
-/// Tables of one subscriber: one for each class at the most, and one of withdrawals.
-pub const TOPICS_MOST: usize = 33;
+/// Tables of one subscriber: one for each of 32 classes, as many again that it is bound off and still holds,
+/// withdrawals, and binds.
+pub const TOPICS_MOST: usize = 66;
 
 #[derive(Debug)]
 struct Step {
@@ -97,7 +115,17 @@
     made: BTreeMap<Option<Version>, Update>,
 }
 
-type Update = Rc<[Rc<[Change]>]>;
+/// An update's parts.
+pub type Update = Rc<[Rc<[Change]>]>;
+
+/// One table's update, whole.
+#[derive(Debug, Clone)]
+pub struct Whole {
+    pub topic: Topic,
+    pub from: Option<Version>,
+    pub to: Version,
+    pub update: Update,
+}
 
 impl Published {
     /// Whether the run reaches back to a version.
@@ -116,16 +144,19 @@
                 keys.push(key);
             }
         }
-        if keys.is_empty() {
-            return;
+        if !keys.is_empty() {
+            self.advance(keys);
         }
+    }
+
+    fn advance(&mut self, keys: Vec<Key>) {
         self.version += 1;
-        self.held += keys.len();
+        self.held += keys.len().max(1);
         self.run.push_back(Step { version: self.version, keys });
         self.made.clear();
         while self.held > self.state.len().max(RUN_LEAST) {
             let Some(step) = self.run.pop_front() else { break };
-            self.held -= step.keys.len();
+            self.held -= step.keys.len().max(1);
         }
     }
 
@@ -164,14 +195,26 @@
     told: Option<Version>,
     /// An update that has gone out in part: from, to, the parts, and which is next.
     sending: Option<(Option<Version>, Version, Update, usize)>,
+    /// The message after which it was started over: what is said of earlier ones does not count.
+    since: u64,
+}
+
+impl Position {
+    /// What it has still to be told: whatever came since is one update, and no longer reached by the run a snapshot.
+    fn behind(&self, table: &mut Published) -> Option<(Option<Version>, Version, Update, usize)> {
+        if self.told == Some(table.version) {
+            return None;
+        }
+        let from = self.told.filter(|told| table.reaches(*told));
+        Some((from, table.version, table.update(from), 0))
+    }
 }
 
 #[derive(Debug)]
 struct Flying {
     number: u64,
-    topic: Topic,
-    /// The version that it holds with this message: the last part of an update.
-    holds: Option<Version>,
+    /// The versions that it holds with this message: of the tables whose updates end in it.
+    holds: Vec<(Topic, Version)>,
     sent: Duration,
 }
 
@@ -184,6 +227,14 @@
     flying: VecDeque<Flying>,
 }
 
+impl Subscriber {
+    fn fly(&mut self, now: Duration, holds: Vec<(Topic, Version)>) -> u64 {
+        self.number += 1;
+        self.flying.push_back(Flying { number: self.number, holds, sent: now });
+        self.number
+    }
+}
+
 /// All that one planner publishes.
 #[derive(Debug)]
 pub struct Publisher {
@@ -210,6 +261,23 @@
         table.version
     }
 
+    /// A table as it is to be, in place of all that it held: one step with what differs, if anything does.
+    pub fn replace(&mut self, topic: Topic, state: BTreeMap<Key, Rc<str>>) -> Version {
+        let table = self.tables.entry(topic).or_default();
+        let gone = table.state.keys().filter(|key| !state.contains_key(*key));
+        let mut changes: Vec<Change> = gone.map(|key| Change { key: key.clone(), value: None }).collect();
+        changes.extend(state.into_iter().map(|(key, value)| Change { key, value: Some(value) }));
+        table.step(changes);
+        table.version
+    }
+
+    /// A step that changes nothing, so that its confirmation says that a subscriber is there and level.
+    pub fn touch(&mut self, topic: Topic) -> Version {
+        let table = self.tables.entry(topic).or_default();
+        table.advance(vec![]);
+        table.version
+    }
+
     /// A table's version and state.
     pub fn table(&self, topic: Topic) -> Option<(Version, &BTreeMap<Key, Rc<str>>)> {
         self.tables.get(&topic).map(|t| (t.version, &t.state))
@@ -243,10 +311,23 @@
         if subscriber.positions.len() >= TOPICS_MOST && !subscriber.positions.contains_key(&topic) {
             return false;
         }
-        subscriber.positions.insert(topic, Position { taken: version, told: version, sending: None });
+        let since = subscriber.number;
+        subscriber.positions.insert(topic, Position { taken: version, told: version, sending: None, since });
         true
     }
 
+    /// Whether it is to have a table.
+    pub fn follows(&self, name: &str, topic: Topic) -> bool {
+        self.subscribers.get(name).is_some_and(|s| s.positions.contains_key(&topic))
+    }
+
+    /// The version of a table that a subscriber is to have and does not hold for certain.
+    pub fn lacking(&self, name: &str, topic: Topic) -> Option<Version> {
+        let position = self.subscribers.get(name)?.positions.get(&topic)?;
+        let version = self.tables.get(&topic)?.version;
+        (position.taken != Some(version)).then_some(version)
+    }
+
     /// It is not to have a table any more.
     pub fn unsubscribe(&mut self, name: &str, topic: Topic) {
         if let Some(subscriber) = self.subscribers.get_mut(name) {
@@ -265,10 +346,11 @@
         let mut chosen: Option<((bool, bool), Topic)> = None;
         for (topic, position) in &mut subscriber.positions {
             let Some(table) = self.tables.get_mut(topic) else { continue };
-            if position.sending.is_none() && position.told != Some(table.version) {
-                // Conflated: whatever came since is one update, and no longer reached by the run a snapshot.
-                let from = position.told.filter(|told| table.reaches(*told));
-                position.sending = Some((from, table.version, table.update(from), 0));
+            // What has not begun to go out is reckoned anew: a bind of some turns ago must not go out once the table
+            // that the newest one names stands before it.
+            let begun = position.sending.as_ref().is_some_and(|(.., next)| *next > 0);
+            if !begun {
+                position.sending = position.behind(table);
             }
             let Some((_, _, update, next)) = &position.sending else { continue };
             let out = update[*next].first().is_some_and(Change::takes_out);
@@ -287,12 +369,38 @@
             true => position.told = Some(to),
             false => position.sending = Some((from, to, update, part + 1)),
         }
-        subscriber.number += 1;
-        let (number, holds) = (subscriber.number, last.then_some(to));
-        subscriber.flying.push_back(Flying { number, topic, holds, sent: now });
+        let holds = last.then_some((topic, to)).into_iter().collect();
+        let number = subscriber.fly(now, holds);
         Some((number, Part { topic, epoch: self.epoch, from, to, part, of, changes }))
     }
 
+    /// All that a subscriber has still to be told, as one message that it takes whole; none: it has been told all, or
+    /// has too many on their way. In the order of [`Publisher::next`].
+    pub fn bundle(&mut self, now: Duration, name: &str) -> Option<(u64, Vec<Whole>)> {
+        let subscriber = self.subscribers.get_mut(name)?;
+        if subscriber.flying.len() >= WINDOW {
+            return None;
+        }
+        let mut all = Vec::new();
+        for (topic, position) in &mut subscriber.positions {
+            let Some(table) = self.tables.get_mut(topic) else { continue };
+            let Some((from, to, update, _)) = position.behind(table) else { continue };
+            position.told = Some(to);
+            all.push(Whole { topic: *topic, from, to, update });
+        }
+        if all.is_empty() {
+            return None;
+        }
+        let holds = all.iter().map(|w| (w.topic, w.to)).collect();
+        Some((subscriber.fly(now, holds), all))
+    }
+
+    /// The number of a message that brings nothing: its confirmation says that the subscriber is there.
+    pub fn nothing(&mut self, now: Duration, name: &str) -> Option<u64> {
+        let subscriber = self.subscribers.get_mut(name)?;
+        (subscriber.flying.len() < WINDOW).then(|| subscriber.fly(now, vec![]))
+    }
+
     /// A stream confirmed a message, and so all before it: tables and the versions that it now holds.
     pub fn confirmed(&mut self, name: &str, stream: u64, number: u64) -> Vec<(Topic, Version)> {
         let Some(subscriber) = self.subscribers.get_mut(name).filter(|s| s.stream == stream) else {
@@ -301,21 +409,33 @@
         let mut held = Vec::new();
         while subscriber.flying.front().is_some_and(|f| f.number <= number) {
             let Some(flying) = subscriber.flying.pop_front() else { break };
-            let position = subscriber.positions.get_mut(&flying.topic);
-            if let Some((position, version)) = position.zip(flying.holds) {
-                position.taken = Some(version);
-                held.push((flying.topic, version));
+            for (topic, version) in flying.holds {
+                // One that was started over since holds what comes after, and nothing by this.
+                let position = subscriber.positions.get_mut(&topic);
+                if let Some(position) = position.filter(|p| p.since < flying.number) {
+                    position.taken = Some(version);
+                    held.push((topic, version));
+                }
             }
         }
         held
     }
 
-    /// It says that it does not have what an update starts from: its next one is a snapshot.
-    pub fn lacks(&mut self, name: &str, stream: u64, topic: Topic) {
-        let subscriber = self.subscribers.get_mut(name).filter(|s| s.stream == stream);
-        if let Some(position) = subscriber.and_then(|s| s.positions.get_mut(&topic)) {
-            *position = Position::default();
+    /// It could not use a message, and confirms those before it: the table's next update is a snapshot. What it says
+    /// of messages that were on their way when the table was started over changes nothing more.
+    pub fn lacks(&mut self, name: &str, stream: u64, number: u64, topic: Topic) -> Vec<(Topic, Version)> {
+        let held = self.confirmed(name, stream, number.saturating_sub(1));
+        let Some(subscriber) = self.subscribers.get_mut(name).filter(|s| s.stream == stream) else {
+            return vec![];
+        };
+        if subscriber.flying.front().is_some_and(|f| f.number == number) {
+            subscriber.flying.pop_front();
+        }
+        let since = subscriber.number;
+        if let Some(position) = subscriber.positions.get_mut(&topic).filter(|p| p.since < number) {
+            *position = Position { since, ..Position::default() };
         }
+        held
     }
 
     /// What a subscriber holds for certain of a table.
--- a/publish/src/reader.rs
+++ b/publish/src/reader.rs
@@ -1,6 +1,6 @@
 //! The subscriber's side: it takes updates whole, never goes back, and asks anew where one is missing.
 
-use crate::{Change, Key, Part, Topic, Version};
+use crate::{Change, Key, Kind, Part, Topic, Version};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -53,6 +53,21 @@
         self.held.get(&topic).map(|h| (h.epoch, h.version))
     }
 
+    /// All tables held of a kind.
+    pub fn of(&self, kind: Kind) -> impl Iterator<Item = (u16, &Held)> {
+        self.held.iter().filter(move |(topic, _)| topic.kind == kind).map(|(topic, held)| (topic.table, held))
+    }
+
+    pub fn topics(&self) -> impl Iterator<Item = Topic> + '_ {
+        self.held.keys().copied()
+    }
+
+    /// A table that nothing goes by any more, or that was of no use.
+    pub fn forget(&mut self, topic: Topic) {
+        self.held.remove(&topic);
+        self.pending.remove(&topic);
+    }
+
     /// The stream broke: half an update is none. Tables stay in force.
     pub fn broke(&mut self) {
         self.pending.clear();
