--- a/forward/src/lib.rs
+++ b/forward/src/lib.rs
@@ -2,6 +2,7 @@
 //! the less busy of two drawn; shuns a server after failures in a row; lets in what the level allows; makes
 //! a further try only after proof, or as ordered; keeps the outer limit. Free of I/O.
 
+pub mod published;
 pub mod query;
 pub mod tables;
 
--- a/forward/src/tables.rs
+++ b/forward/src/tables.rs
@@ -34,19 +34,19 @@
 }
 
 #[derive(Debug, Clone, Default)]
-struct Table {
-    lines: Vec<Line>,
-    levels: BTreeMap<String, Level>,
+pub(crate) struct Table {
+    pub(crate) lines: Vec<Line>,
+    pub(crate) levels: BTreeMap<String, Level>,
     /// For turns: what each line has saved up.
-    credit: Vec<f64>,
+    pub(crate) credit: Vec<f64>,
 }
 
 /// All that a proxy holds.
 #[derive(Debug, Clone, Default)]
 pub struct Held {
-    tables: BTreeMap<u16, Table>,
-    binds: BTreeMap<String, u16>,
-    withdrawn: BTreeSet<String>,
+    pub(crate) tables: BTreeMap<u16, Table>,
+    pub(crate) binds: BTreeMap<String, u16>,
+    pub(crate) withdrawn: BTreeSet<String>,
     /// It was ordered by a planner.
     pub ordered: bool,
 }
--- a/model/src/order.rs
+++ b/model/src/order.rs
@@ -54,6 +54,33 @@
     }
 }
 
+/// A line as one text, for fronts that publish tables by key: address, weight.
+pub fn line_text(address: &str, weight: f64) -> String {
+    format!("{address} {weight}")
+}
+
+/// Reads [`line_text`]: a weight is finite and above 0.
+pub fn read_line(text: &str) -> Option<(&str, f64)> {
+    let (address, weight) = text.split_once(' ')?;
+    let weight = weight.parse().ok().filter(|w: &f64| w.is_finite() && *w > 0.0)?;
+    Some((address, weight))
+}
+
+/// A level as one text: queries a second, or `-` for all, and the further tries.
+pub fn level_text((pace, tries): &Level) -> String {
+    pace.map_or_else(|| format!("- {}", word(*tries)), |pace| format!("{pace} {}", word(*tries)))
+}
+
+/// Reads [`level_text`].
+pub fn read_level(text: &str) -> Option<Level> {
+    let (pace, ways) = text.split_once(' ')?;
+    let pace = match pace {
+        "-" => None,
+        pace => Some(pace.parse().ok().filter(|p: &f64| p.is_finite() && *p >= 0.0)?),
+    };
+    matches!(ways, "none" | "unrun" | "one" | "two").then(|| (pace, tries(ways)))
+}
+
 fn leaf(out: &mut String, name: &str, text: &str) {
     out.push('<');
     out.push_str(name);
--- a/publish/src/admit.rs
+++ b/publish/src/admit.rs
@@ -31,6 +31,10 @@
         Admission { grace, waiting, by_name, pace: PACE_LEAST, room: 1.0, at: Duration::ZERO }
     }
 
+    pub fn set_grace(&mut self, grace: Duration) {
+        self.grace = grace;
+    }
+
     /// One came; again under the same name, it takes its own place. False: too many wait.
     pub fn came(&mut self, now: Duration, name: &str, age: Age) -> bool {
         self.gone(name);
--- a/publish/src/lib.rs
+++ b/publish/src/lib.rs
@@ -254,6 +254,27 @@
         self.epoch
     }
 
+    /// The decisions start over: another epoch, no tables; streams stay, and follow nothing.
+    pub fn restart(&mut self, epoch: u64) {
+        self.epoch = epoch.max(self.epoch + 1);
+        self.tables.clear();
+        for subscriber in self.subscribers.values_mut() {
+            // Numbers go on, and what is on its way counts against the window until its word comes, which then
+            // confirms nothing.
+            subscriber.positions.clear();
+            subscriber.flying.iter_mut().for_each(|f| f.holds.clear());
+        }
+    }
+
+    /// A table is told anew, whole.
+    pub fn start_over(&mut self, name: &str, topic: Topic) {
+        let Some(subscriber) = self.subscribers.get_mut(name) else { return };
+        let since = subscriber.number;
+        if let Some(position) = subscriber.positions.get_mut(&topic) {
+            *position = Position { since, ..Position::default() };
+        }
+    }
+
     /// A step of one table; what is said again as it stands is no step.
     pub fn step(&mut self, topic: Topic, changes: Vec<Change>) -> Version {
         let table = self.tables.entry(topic).or_default();
@@ -283,6 +304,11 @@
         self.tables.get(&topic).map(|t| (t.version, &t.state))
     }
 
+    /// The tables of a kind.
+    pub fn tables_of(&self, kind: Kind) -> Vec<u16> {
+        self.tables.keys().filter(|t| t.kind == kind).map(|t| t.table).collect()
+    }
+
     /// A subscriber came, by a stream of its own; an earlier stream of the same name is over.
     pub fn join(&mut self, name: &str) -> u64 {
         self.streams += 1;
