--- a/daemon/src/forwarder.rs
+++ b/daemon/src/forwarder.rs
@@ -1,19 +1,25 @@
 //! The forwarder's shell: queries in and out by HTTP/1.1, tables by NETCONF from a planner that it dials.
 
 use crate::http::{write_answer, write_query, Bad, Message, Reader};
-use crate::papers::{holder, Terms, Unusable};
+use crate::papers::{holder, server_name, Terms, Unusable, PLANNER};
 use crate::{earliest, wall_text};
 use nanorand::{Rng, WyRand};
+use runloom_forward::published;
 use runloom_forward::query::{Ended, Refusal, Step};
 use runloom_forward::tables::{Held, Pick};
 use runloom_forward::{Manner, Proxy, QueryId};
-use runloom_model::forwarder::Stand;
+use runloom_model::forwarder::{Stand, Told};
 use runloom_model::schema::derive;
 use runloom_model::{Schema, PROXY, PROXY_XSD, YANG};
+use runloom_mqtt::client::{Client, Told as Say, Wish};
+use runloom_mqtt::report;
+use runloom_mqtt::session::Hello;
 use runloom_netconf::error::{RpcError, Tag};
 use runloom_netconf::service::{Access, Change, Host, Known, Limits, Service, CAPABILITIES};
 use runloom_netconf::session::{Bounds as SessionBounds, Heard, Role, Session};
 use runloom_netconf::tree::Element;
+use runloom_publish::reader::{Reader as Published, Taken};
+use runloom_publish::Part;
 use runloom_turn::{Bounds, Conn, Happened, Security, Turn, Why};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -102,11 +108,27 @@
     dialled: Duration,
 }
 
+/// How the planner tells this forwarder its tables.
+enum Way {
+    /// It edits them.
+    Edits { session: Box<Session>, id: u32 },
+    /// It publishes them.
+    Publishes(Box<Client>),
+}
+
 struct Stream {
     conn: Conn,
     planner: SocketAddr,
-    session: Session,
-    id: u32,
+    way: Way,
+}
+
+impl Stream {
+    fn is_joined(&self) -> bool {
+        match &self.way {
+            Way::Edits { session, .. } => session.is_open(),
+            Way::Publishes(client) => client.is_joined(),
+        }
+    }
 }
 
 struct Out {
@@ -124,6 +146,8 @@
     security: Security,
     chance: WyRand,
     stream: Option<Stream>,
+    /// What was published to it, and by which planner.
+    published: (Published, String),
     dialling: Option<Conn>,
     dial_at: Duration,
     next_planner: usize,
@@ -142,8 +166,9 @@
     pub made: Vec<Conn>,
     /// Edits taken since a host asked: lines.
     pub taken: Vec<usize>,
-    /// Reads nothing that a planner sends, for days on which that happens.
+    /// Reads nothing that a planner sends, for days on which that happens; what was read before it went deaf waits.
     deaf: bool,
+    unheard: Vec<u8>,
     pub stopping: bool,
 }
 
@@ -163,14 +188,18 @@
         let forwarder = Forwarder {
             report_at: now + stand.report,
             reported: now,
-            stand,
             proxy,
             store,
             service: Service::new(schema, Limits::default()),
-            // RFC 8071: it dials, and is the server all the same.
-            security: Security::Answers(terms.answers),
+            security: match stand.front {
+                // RFC 8071: it dials, and is the server all the same.
+                Told::Edits => Security::Answers(terms.answers),
+                Told::Weights | Told::Subsets => Security::Starts(terms.starts, server_name(PLANNER)),
+            },
+            stand,
             chance: WyRand::new_seed(seed ^ 0x5151),
             stream: None,
+            published: Default::default(),
             dialling: None,
             dial_at: now,
             next_planner: 0,
@@ -185,6 +214,7 @@
             made: vec![listener],
             taken: vec![],
             deaf: false,
+            unheard: vec![],
             stopping: false,
         };
         Ok((forwarder, at))
@@ -218,7 +248,7 @@
     }
 
     pub fn is_joined(&self) -> bool {
-        self.stream.as_ref().is_some_and(|s| s.session.is_open())
+        self.stream.as_ref().is_some_and(Stream::is_joined)
     }
 
     /// A query that came and ended well without a socket, for planners measured at size.
@@ -231,14 +261,16 @@
 
     /// The planner that it is joined to.
     pub fn planner(&self) -> Option<SocketAddr> {
-        self.stream.as_ref().filter(|s| s.session.is_open()).map(|s| s.planner)
+        self.stream.as_ref().filter(|s| s.is_joined()).map(|s| s.planner)
     }
 
     /// Reads nothing of its stream, or reads again.
     pub fn set_deaf(&mut self, turn: &mut Turn, deaf: bool) {
         self.deaf = deaf;
-        if let Some(stream) = self.stream.as_ref().filter(|_| !deaf) {
-            turn.hold(stream.conn, false);
+        if let Some(conn) = self.stream.as_ref().filter(|_| !deaf).map(|s| s.conn) {
+            turn.hold(conn, false);
+            let unheard = std::mem::take(&mut self.unheard);
+            self.read_stream(turn, &unheard);
         }
     }
 
@@ -255,7 +287,11 @@
             (self.stream.is_none() && self.dialling.is_none() && !self.stopping).then_some(self.dial_at);
         let limit = self.limits.first().map(|(at, _)| *at);
         let connecting = self.upstreams.values().filter(|u| !u.open).map(|u| u.dialled + CONNECT).min();
-        earliest([dial, limit, connecting, Some(self.report_at)])
+        let stream = match self.stream.as_ref().map(|s| &s.way) {
+            Some(Way::Publishes(client)) => client.wakes_at(),
+            _ => None,
+        };
+        earliest([dial, limit, connecting, stream, Some(self.report_at)])
     }
 
     pub fn happened(&mut self, turn: &mut Turn, happened: Happened) {
@@ -280,13 +316,13 @@
                 turn.cut(conn);
                 return self.redial(turn.now());
             };
-            let Some(id) = self.service.open(&who.name, turn.now()) else {
+            let Some(way) = self.way(turn.now(), &who.name) else {
                 turn.cut(conn);
                 return self.redial(turn.now());
             };
-            let session = Session::new(Role::Server { id }, &CAPABILITIES, SessionBounds::default());
             let planner = self.stand.planners[self.next_planner % self.stand.planners.len()];
-            self.stream = Some(Stream { conn, planner, session, id });
+            self.unheard.clear();
+            self.stream = Some(Stream { conn, planner, way });
             // What was met while nobody listened is old by now.
             self.proxy.report(Duration::ZERO);
             self.reported = turn.now();
@@ -297,6 +333,31 @@
         }
     }
 
+    /// The session with a planner, by its certificate's name.
+    fn way(&mut self, now: Duration, planner: &str) -> Option<Way> {
+        let wish = match self.stand.front {
+            Told::Edits => {
+                let id = self.service.open(planner, now)?;
+                let session = Session::new(Role::Server { id }, &CAPABILITIES, SessionBounds::default());
+                return Some(Way::Edits { session: Box::new(session), id });
+            }
+            Told::Weights => Wish::Weights,
+            Told::Subsets => Wish::Subsets,
+        };
+        let (reader, of) = &mut self.published;
+        reader.broke();
+        // Another planner counts its starts and versions for itself.
+        let holds = match of == planner {
+            true => reader.topics().filter_map(|t| reader.holds(t).map(|(e, v)| (t, e, v))).collect(),
+            false => vec![],
+        };
+        *of = planner.to_string();
+        let fresh = !self.proxy.held().ordered;
+        let hello = Hello { zone: self.stand.zone.clone(), rate: self.rate, fresh };
+        let client = Client::new(now, planner, &self.stand.name, &hello, wish, holds);
+        Some(Way::Publishes(Box::new(client)))
+    }
+
     /// Writes the query that a connection to a server is for.
     fn send(&mut self, turn: &mut Turn, conn: Conn) {
         let query = self.upstreams.get(&conn).and_then(|u| u.query);
@@ -313,6 +374,8 @@
             self.read_upstream(turn, conn, bytes);
         } else if self.stream.as_ref().is_some_and(|s| s.conn == conn) {
             if self.deaf {
+                // One turn's share at the most: nothing more is read.
+                self.unheard.extend_from_slice(bytes);
                 turn.hold(conn, true);
                 return;
             }
@@ -525,7 +588,10 @@
     }
 
     fn lost(&mut self, now: Duration, stream: Stream) {
-        self.service.left(stream.id, &mut self.store);
+        if let Way::Edits { id, .. } = stream.way {
+            self.service.left(id, &mut self.store);
+        }
+        self.published.0.broke();
         self.redial(now);
     }
 
@@ -550,7 +616,10 @@
 
     fn read_stream(&mut self, turn: &mut Turn, bytes: &[u8]) {
         let Some(stream) = self.stream.as_mut() else { return };
-        let mut heard = stream.session.take(bytes);
+        let mut heard = match &mut stream.way {
+            Way::Edits { session, .. } => session.take(bytes),
+            Way::Publishes(_) => return self.read_published(turn, bytes),
+        };
         loop {
             let batch = match heard {
                 Ok(batch) => batch,
@@ -564,8 +633,8 @@
             for h in batch {
                 self.stream_heard(turn, h);
             }
-            match self.stream.as_mut() {
-                Some(stream) if stream.session.may_hold_more(count) => heard = stream.session.more(),
+            match self.stream.as_mut().map(|s| &mut s.way) {
+                Some(Way::Edits { session, .. }) if session.may_hold_more(count) => heard = session.more(),
                 _ => break,
             }
         }
@@ -581,9 +650,9 @@
                 .with_leaf("rate", format!("{:.3}", self.rate))
                 .with_leaf("fresh", !self.proxy.held().ordered);
         }
-        let Some(stream) = self.stream.as_mut() else { return };
-        let answer = self.service.handle(turn.now(), stream.id, &rpc, &mut self.store);
-        stream.session.reply(&rpc, answer.content);
+        let Some(Way::Edits { session, id }) = self.stream.as_mut().map(|s| &mut s.way) else { return };
+        let answer = self.service.handle(turn.now(), *id, &rpc, &mut self.store);
+        session.reply(&rpc, answer.content);
         if let Some(held) = self.store.held.take() {
             let lines =
                 rpc.operation().child("config").and_then(|c| c.child("tables")).map_or(0, count_lines);
@@ -593,9 +662,57 @@
     }
 
     fn write_stream(&mut self, turn: &mut Turn) {
-        if let Some(stream) = self.stream.as_mut() {
-            let bytes = stream.session.output(usize::MAX);
-            turn.write(stream.conn, &bytes);
+        let Some(stream) = self.stream.as_mut() else { return };
+        let bytes = match &mut stream.way {
+            Way::Edits { session, .. } => session.output(usize::MAX),
+            Way::Publishes(client) => client.output(),
+        };
+        turn.write(stream.conn, &bytes);
+    }
+
+    fn read_published(&mut self, turn: &mut Turn, bytes: &[u8]) {
+        let now = turn.now();
+        let Some(Way::Publishes(client)) = self.stream.as_mut().map(|s| &mut s.way) else { return };
+        for told in client.take(now, bytes) {
+            if let Say::Part(id, part) = told {
+                let good = self.take_part(&part);
+                if let Some(Way::Publishes(client)) = self.stream.as_mut().map(|s| &mut s.way) {
+                    client.answer(now, id, good);
+                }
+            }
+        }
+        self.end_published(turn);
+    }
+
+    /// Takes a part of a table. False: it was of no use, and the table is to be told anew.
+    fn take_part(&mut self, part: &Part) -> bool {
+        let reader = &mut self.published.0;
+        match reader.take(part) {
+            Taken::Waits => true,
+            Taken::Lacks | Taken::Stale => false,
+            Taken::Now(_) => match published::taken(reader, part.topic) {
+                Ok(held) => {
+                    self.taken.push(part.changes.len());
+                    held.into_iter().for_each(|held| self.proxy.hold(held));
+                    true
+                }
+                Err(unusable) => {
+                    let (name, why) = (&self.stand.name, &unusable.reason);
+                    tracing::warn!(forwarder = %name, table = ?unusable.topic, why, "a table cannot be used");
+                    reader.forget(unusable.topic);
+                    false
+                }
+            },
+        }
+    }
+
+    /// Writes what the subscription has to say, and ends the stream with it.
+    fn end_published(&mut self, turn: &mut Turn) {
+        self.write_stream(turn);
+        let Some(Way::Publishes(client)) = self.stream.as_ref().map(|s| &s.way) else { return };
+        if let Some(over) = client.over() {
+            tracing::info!(forwarder = %self.stand.name, ?over, "stream ends; tables stay in force");
+            self.break_stream(turn);
         }
     }
 
@@ -619,6 +736,12 @@
         if now >= self.report_at {
             self.report(turn, now);
         }
+        if let Some(Way::Publishes(client)) = self.stream.as_mut().map(|s| &mut s.way) {
+            if client.wakes_at().is_some_and(|at| now >= at) {
+                client.wake(now);
+                self.end_published(turn);
+            }
+        }
         let idle = self.stream.is_none() && self.dialling.is_none() && !self.stopping;
         if idle && now >= self.dial_at && !self.stand.planners.is_empty() {
             let to = self.stand.planners[self.next_planner % self.stand.planners.len()];
@@ -635,6 +758,12 @@
 
     fn report(&mut self, turn: &mut Turn, now: Duration) {
         self.report_at = now + self.stand.report;
+        if let Some(Way::Publishes(client)) = self.stream.as_ref().map(|s| &s.way) {
+            if client.is_joined() && !client.can_report() {
+                // The planner has not taken the last ones yet: this one comes with the next.
+                return;
+            }
+        }
         let span = now.saturating_sub(self.reported).max(Duration::from_millis(1));
         self.reported = now;
         let report = self.proxy.report(span);
@@ -642,11 +771,15 @@
         let pace = came as f64 / span.as_secs_f64();
         let part = (span.as_secs_f64() / 10.0).min(1.0);
         self.rate += (pace - self.rate) * if self.rate == 0.0 { 1.0 } else { part };
-        let event = report.element();
-        if let Some(stream) = self.stream.as_mut() {
-            if self.service.subscribers(&event).contains(&stream.id) {
-                stream.session.notify(&wall_text(), event);
+        match self.stream.as_mut().map(|s| &mut s.way) {
+            Some(Way::Edits { session, id }) => {
+                let event = report.element();
+                if self.service.subscribers(&event).contains(id) {
+                    session.notify(&wall_text(), event);
+                }
             }
+            Some(Way::Publishes(client)) if client.is_joined() => client.report(now, report::write(&report)),
+            _ => {}
         }
         self.write_stream(turn);
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod http;
 pub mod papers;
 pub mod planner;
+mod proxies;
 pub mod run;
 pub mod settings;
 pub mod shelf;
--- a/daemon/src/planner.rs
+++ b/daemon/src/planner.rs
@@ -3,20 +3,20 @@
 use crate::desk::{schema, Desk};
 use crate::http::{write_answer, Reader};
 use crate::papers::{holder, server_name, Holder, Terms, PROXY};
+use crate::proxies::{Bodies, Home, Joined, Stream};
 use crate::shelf::Shelf;
 use crate::{earliest, wall_ms, wall_text};
 use hdrhistogram::Histogram;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 use runloom::interface::{Found, Listing};
 use runloom_driver::{Deed, Driver, Spoil, LEAD};
+use runloom_front::{Front, Way};
 use runloom_guard::refusal::Refusal;
-use runloom_model::fleet::Place;
-use runloom_model::order::Report;
-use runloom_model::{PROXY as PROXY_NS, STATE, YANG};
+use runloom_model::fleet::{Fleet, Place};
+use runloom_model::{STATE, YANG};
 use runloom_netconf::service::{Limits, Service, CAPABILITIES};
 use runloom_netconf::session::{Bounds as SessionBounds, Broken, Heard, Role, Session};
 use runloom_netconf::tree::Element;
-use runloom_netconf::{BASE, NOTIFY};
 use runloom_record::{Happened as Recorded, Recorder, Writer};
 use runloom_roster::ledger::Ledger;
 use runloom_roster::{Change, Roster};
@@ -51,48 +51,43 @@
 }
 
 /// A staff session, or a tool's, or the feed's.
-struct Staff {
+pub(crate) struct Staff {
     id: u32,
     session: Session,
     closing: bool,
 }
 
-/// A proxy that called home.
-struct Home {
-    holder: Holder,
-    session: Session,
-    /// The message that asks for what it is.
-    asked: Option<String>,
-    /// Once joined: its number, zone, rate and the orders that it has yet to confirm, by message.
-    proxy: Option<usize>,
-    zone: String,
-    rate: f64,
-    orders: BTreeMap<String, (u64, Duration)>,
-}
-
-struct Probe {
+pub(crate) struct Probe {
     server: usize,
     sent: Duration,
     reader: Reader,
 }
 
-enum Peer {
+pub(crate) enum Peer {
     Staff(Box<Staff>),
     Home(Box<Home>),
+    Stream(Box<Stream>),
     Probe(Probe),
     /// Someone who reads the metrics.
     Reader(Reader),
 }
 
 pub struct Planner {
-    name: String,
-    driver: Driver,
-    desk: Desk,
+    pub(crate) name: String,
+    pub(crate) driver: Driver,
+    pub(crate) front: Front,
+    pub(crate) desk: Desk,
     roster: Roster,
     service: Service,
     shelf: Shelf,
-    peers: BTreeMap<Conn, Peer>,
-    joined: BTreeMap<usize, Conn>,
+    pub(crate) peers: BTreeMap<Conn, Peer>,
+    pub(crate) joined: BTreeMap<usize, Joined>,
+    /// Published parts as text, as long as several proxies may get them.
+    pub(crate) bodies: Bodies,
+    /// When streams that have gone silent were looked for.
+    pub(crate) swept: Duration,
+    /// Reports that could not be read.
+    pub(crate) unread_reports: u64,
     listeners: Listeners,
     security: Security,
     seed: u64,
@@ -107,7 +102,7 @@
     kept: bool,
     /// Microseconds from a decision until its orders are handed to the sockets, and until each is confirmed.
     written: Histogram<u64>,
-    confirmed: Histogram<u64>,
+    pub(crate) confirmed: Histogram<u64>,
     /// Refusals that were logged, and when.
     refused: BTreeMap<(&'static str, u16, Option<usize>), Duration>,
     refusals_until: Duration,
@@ -148,6 +143,7 @@
 struct Listeners {
     edits: Conn,
     home: Conn,
+    pubsub: Option<Conn>,
     metrics: Option<Conn>,
 }
 
@@ -156,6 +152,7 @@
 pub struct Reachable {
     pub edits: SocketAddr,
     pub home: SocketAddr,
+    pub pubsub: Option<SocketAddr>,
     pub metrics: Option<SocketAddr>,
 }
 
@@ -173,12 +170,19 @@
         let security = Security::Starts(terms.starts.clone(), server_name(PROXY));
         let proxies = Bounds { idle: Some(silence), ..Bounds::default() };
         let (home, home_at) = turn.listen(place.home, security.clone(), proxies)?;
+        let pubsub = place.pubsub.map(|at| {
+            // Its own silence is reckoned by the protocol; what waits to be read is a window of parts.
+            let bounds = Bounds { unread: 4 << 20, ..Bounds::default() };
+            turn.listen(at, Security::Answers(terms.answers.clone()), bounds)
+        });
+        let pubsub = pubsub.transpose()?;
         let metrics = place.metrics.map(|at| {
             let bounds = Bounds { idle: Some(Duration::from_secs(10)), connections: 16, ..Bounds::default() };
             turn.listen(at, Security::Plain, bounds)
         });
         let metrics = metrics.transpose()?;
         let epoch = wall_ms().saturating_sub(turn.now().as_millis() as u64);
+        let front = Front::new(next_epoch(&shelf)?, desk.fleet().grace.drain, longest(desk.fleet()));
         let mut driver = Driver::new(desk.fleet().clone(), seed, epoch);
         let mut roster = Roster::default();
         let known = roster.update(desk.fleet(), desk.listed());
@@ -189,13 +193,17 @@
         let planner = Planner {
             name: place.name.clone(),
             driver,
+            front,
             desk,
             roster,
             service: Service::new(schema().map_err(Failed::Data)?, Limits::default()),
             shelf,
             peers: BTreeMap::new(),
             joined: BTreeMap::new(),
-            listeners: Listeners { edits, home, metrics: metrics.map(|m| m.0) },
+            bodies: Bodies::default(),
+            swept: Duration::ZERO,
+            unread_reports: 0,
+            listeners: Listeners { edits, home, pubsub: pubsub.map(|p| p.0), metrics: metrics.map(|m| m.0) },
             security,
             seed,
             list_saved: None,
@@ -212,7 +220,8 @@
             record,
             record_stopped: false,
         };
-        let reachable = Reachable { edits: edits_at, home: home_at, metrics: metrics.map(|m| m.1) };
+        let (pubsub, metrics) = (pubsub.map(|p| p.1), metrics.map(|m| m.1));
+        let reachable = Reachable { edits: edits_at, home: home_at, pubsub, metrics };
         tracing::info!(planner = %place.name, edits = %edits_at, home = %home_at, "planner started");
         Ok((planner, reachable))
     }
@@ -244,7 +253,8 @@
 
     pub fn wakes_at(&self) -> Option<Duration> {
         let list = self.list_dirty.then(|| self.list_saved.map_or(Duration::ZERO, |at| at + LIST_EVERY));
-        earliest([self.driver.wakes_at(), self.service.wakes_at(), self.desk.ledger.wakes_at(), list])
+        let cores = [self.driver.wakes_at(), self.front.wakes_at(), self.service.wakes_at()];
+        earliest(cores.into_iter().chain([self.desk.ledger.wakes_at(), list]))
     }
 
     pub fn try_out(&mut self, trial: Trial) {
@@ -275,19 +285,13 @@
             }
             (Some(l), Some(who)) if l == self.listeners.edits => self.staff(turn, conn, &who),
             (Some(l), Some(who)) if l == self.listeners.home && who.proxy => {
-                let session = Session::new(Role::Client, &[], SessionBounds::default());
-                let home = Home {
-                    holder: who,
-                    session,
-                    asked: None,
-                    proxy: None,
-                    zone: String::new(),
-                    rate: 0.0,
-                    orders: BTreeMap::new(),
-                };
-                self.peers.insert(conn, Peer::Home(Box::new(home)));
+                self.peers.insert(conn, Peer::Home(Box::new(Home::new(who))));
                 self.write_out(turn, conn);
             }
+            (Some(l), Some(who)) if Some(l) == self.listeners.pubsub && who.proxy => {
+                let stream = Stream::new(turn.now(), &self.name, who);
+                self.peers.insert(conn, Peer::Stream(Box::new(stream)));
+            }
             (None, _) => {
                 // A probe's connection: the shortest query there is.
                 turn.write(conn, b"GET /health HTTP/1.1\r\nhost: server\r\nconnection: close\r\n\r\n");
@@ -321,6 +325,7 @@
         let heard = match self.peers.get_mut(&conn) {
             Some(Peer::Staff(staff)) => staff.session.take(bytes),
             Some(Peer::Home(home)) => home.session.take(bytes),
+            Some(Peer::Stream(_)) => return self.stream_bytes(turn, conn, bytes),
             Some(Peer::Probe(_)) => return self.probe_answered(turn, conn, bytes),
             Some(Peer::Reader(_)) => return self.read_metrics(turn, conn, bytes),
             None => return,
@@ -386,85 +391,15 @@
         }
     }
 
-    fn home_heard(&mut self, turn: &mut Turn, conn: Conn, heard: Heard) {
-        let now = turn.now();
-        let Some(Peer::Home(home)) = self.peers.get_mut(&conn) else { return };
-        match heard {
-            Heard::Open { .. } => {
-                home.session.ask(Element::new(NOTIFY, "create-subscription"));
-                let wish = Element::new(BASE, "filter").with(Element::new(PROXY_NS, "proxy"));
-                home.asked = Some(home.session.ask(Element::new(BASE, "get").with(wish)));
-                self.write_out(turn, conn);
-            }
-            Heard::Reply { message_id, reply } if home.asked.as_ref() == Some(&message_id) => {
-                home.asked = None;
-                self.joined(turn, conn, &reply);
-            }
-            Heard::Reply { message_id, reply } => {
-                let Some((number, sent)) = home.orders.remove(&message_id) else { return };
-                self.confirmed.saturating_record(now.saturating_sub(sent).as_micros() as u64);
-                let Some(proxy) = home.proxy else { return };
-                if let Some(error) = reply.child("rpc-error") {
-                    // What a proxy refuses it does not hold: it joins anew and is told everything.
-                    let why = error.text_of("error-message").unwrap_or_default();
-                    tracing::error!(proxy = %home.holder.name, why, "a proxy refused an order");
-                    turn.cut(conn);
-                    return self.closed(turn, conn, Why::Broken);
-                }
-                self.driver.applied(now, proxy, number);
-                self.desk.ledger.applied(proxy, number);
-            }
-            Heard::Notified(event) => {
-                if let (Some(proxy), Some(report)) = (home.proxy, Report::read(&event)) {
-                    self.driver.report(now, proxy, &report);
-                }
-            }
-            Heard::Rpc(_) => {}
-        }
-    }
-
-    /// A proxy said what it is.
-    fn joined(&mut self, turn: &mut Turn, conn: Conn, reply: &Element) {
-        let Some(Peer::Home(home)) = self.peers.get_mut(&conn) else { return };
-        let empty = Element::default();
-        let told = reply.child("data").and_then(|d| d.child("proxy")).unwrap_or(&empty);
-        let name = told.text_of("name").unwrap_or_default();
-        if name != home.holder.name {
-            // An instance may report only about itself.
-            tracing::warn!(holder = %home.holder.name, name, "a proxy goes by another's name");
-            turn.cut(conn);
-            return self.closed(turn, conn, Why::Untrusted);
-        }
-        home.zone = told.text_of("zone").unwrap_or_default().to_string();
-        home.rate = told.text_of("rate").and_then(|r| r.parse().ok()).unwrap_or(0.0);
-        let fresh = told.text_of("fresh") == Some("true");
-        let (zone, rate, name) = (home.zone.clone(), home.rate, name.to_string());
-        let proxy = self.driver.joined(&name, &zone, rate, fresh);
-        home.proxy = Some(proxy);
-        tracing::info!(proxy = %name, zone = %zone, rate, fresh, "joined");
-        self.desk.ledger.left(proxy);
-        if let Some(old) = self.joined.insert(proxy, conn).filter(|old| *old != conn) {
-            // The same proxy on a newer stream; the old one is half open.
-            turn.cut(old);
-            self.peers.remove(&old);
-        }
-    }
-
-    fn closed(&mut self, turn: &mut Turn, conn: Conn, why: Why) {
+    pub(crate) fn closed(&mut self, turn: &mut Turn, conn: Conn, why: Why) {
         match self.peers.remove(&conn) {
             Some(Peer::Staff(staff)) => {
                 tracing::info!(session = staff.id, ?why, "session closed");
                 (self.desk.now, self.desk.wall) = (turn.now(), wall_ms());
                 self.service.left(staff.id, &mut self.desk);
             }
-            Some(Peer::Home(home)) => {
-                if let Some(proxy) = home.proxy.filter(|p| self.joined.get(p) == Some(&conn)) {
-                    tracing::info!(proxy = %home.holder.name, ?why, "left");
-                    self.joined.remove(&proxy);
-                    self.driver.left(proxy);
-                    self.desk.ledger.left(proxy);
-                }
-            }
+            Some(Peer::Home(home)) => self.proxy_closed(conn, &home.holder.name, home.proxy, why),
+            Some(Peer::Stream(stream)) => self.proxy_closed(conn, &stream.holder.name, stream.proxy, why),
             Some(Peer::Probe(probe)) => {
                 let found = match why {
                     Why::Slow | Why::Idle => Found::NoAnswer,
@@ -501,10 +436,12 @@
         self.keep(turn, now);
         self.tell_decisions(now);
         self.patience(turn, now);
+        self.admit(turn, now);
         let (deeds, ordered) = self.driver.turn(now);
         self.desk.ledger.ordered(&ordered.servers, &ordered.proxies);
         let sends = deeds.iter().filter(|d| matches!(d, Deed::Send { .. })).count();
         deeds.into_iter().for_each(|deed| self.carry(turn, deed));
+        self.tell(turn);
         if sends > 0 {
             self.written.saturating_record(turn.now().saturating_sub(now).as_micros() as u64);
         }
@@ -589,12 +526,14 @@
             );
             let all = self.roster.servers().iter().map(|(n, s)| (n.clone(), Change::Is(s.clone())));
             self.driver.list(Listing::Remembered, all.collect());
-            for (proxy, conn) in &self.joined {
-                if let Some(Peer::Home(home)) = self.peers.get_mut(conn) {
-                    home.orders.clear();
-                    self.driver.joined(&home.holder.name, &home.zone, home.rate, false);
-                    self.desk.ledger.left(*proxy);
-                }
+            let fleet = self.desk.fleet();
+            self.front.restart(self.front.publisher().epoch() + 1, fleet.grace.drain, longest(fleet));
+            if let Err(e) = keep_epoch(&self.shelf, self.front.publisher().epoch()) {
+                tracing::warn!(error = %e, "the epoch could not be written");
+            }
+            for (proxy, joined) in &self.joined {
+                self.driver.joined(&joined.name, &joined.zone, joined.rate, false);
+                self.desk.ledger.left(*proxy);
             }
         } else if !changes.is_empty() {
             self.driver.list(Listing::Changes, changes);
@@ -621,11 +560,12 @@
             .collect();
         for proxy in late {
             tracing::warn!(proxy = self.driver.proxy_name(proxy), "let go: it does not confirm its orders");
-            if let Some(conn) = self.joined.get(&proxy).copied() {
+            if let Some(conn) = self.joined.get(&proxy).map(|j| j.conn) {
                 turn.cut(conn);
                 self.closed(turn, conn, Why::Unread);
             }
         }
+        self.sweep(turn, now);
         let overdue = |(c, p): (&Conn, &Peer)| match p {
             Peer::Probe(probe) if now >= probe.sent + PROBE_PATIENCE => Some(*c),
             _ => None,
@@ -639,13 +579,11 @@
 
     fn carry(&mut self, turn: &mut Turn, deed: Deed) {
         match deed {
-            Deed::Send { proxy, number, body, lines } => {
-                let Some(conn) = self.joined.get(&proxy).copied() else { return };
-                let Some(Peer::Home(home)) = self.peers.get_mut(&conn) else { return };
-                let message_id = home.session.ask_text(&body);
-                home.orders.insert(message_id, (number, turn.now()));
-                tracing::debug!(proxy = %home.holder.name, number, lines, "ordered");
-                self.write_out(turn, conn);
+            Deed::Table { table, edit } => self.front.table(table, &edit),
+            Deed::Withdrawn { servers } => self.front.withdrawn(&servers),
+            Deed::Send { proxy, number, message, lines } => {
+                tracing::debug!(proxy, number, lines, "ordered");
+                self.front.ordered(proxy, number, &message);
             }
             Deed::Probe { server, address } => {
                 let out = self.peers.values().filter(|p| matches!(p, Peer::Probe(_))).count();
@@ -763,7 +701,7 @@
         }
     }
 
-    fn write_out(&mut self, turn: &mut Turn, conn: Conn) {
+    pub(crate) fn write_out(&mut self, turn: &mut Turn, conn: Conn) {
         let session = match self.peers.get_mut(&conn) {
             Some(Peer::Staff(staff)) => &mut staff.session,
             Some(Peer::Home(home)) => &mut home.session,
@@ -805,9 +743,14 @@
             state = state.with(e);
         }
         for (proxy, member) in self.driver.members() {
+            let told = self.joined.get(proxy).map(|j| j.way).map_or("edits", |way| match way {
+                Way::Whole => "edits",
+                Way::Parts => "published",
+            });
             let mut e = Element::new(STATE, "proxy")
                 .with_leaf("name", self.driver.proxy_name(*proxy))
-                .with_leaf("zone", &member.zone);
+                .with_leaf("zone", &member.zone)
+                .with_leaf("told", told);
             let ages = [
                 ("ordered-ms", ms(member.ordered_at)),
                 ("applied-ms", ms(member.applied_at)),
@@ -855,6 +798,12 @@
         metrics::with_local_recorder(&self.recorder.0, || {
             let gauge = |name: &'static str, value: f64| metrics::gauge!(name).set(value);
             gauge("runloom_proxies_joined", self.joined.len() as f64);
+            let published = self.joined.values().filter(|j| j.way == Way::Parts).count();
+            gauge("runloom_proxies_published_to", published as f64);
+            gauge("runloom_proxies_to_be_let_in", self.front.waiting() as f64);
+            gauge("runloom_messages_flying", self.front.publisher().waiting() as f64);
+            metrics::counter!("runloom_proxies_doubted_total").absolute(self.front.doubted);
+            metrics::counter!("runloom_reports_unread_total").absolute(self.unread_reports);
             gauge("runloom_lines_waiting", self.driver.lines_waiting() as f64);
             gauge("runloom_lines_waiting_most", self.driver.most_waiting as f64);
             metrics::counter!("runloom_lines_sent_total").absolute(self.driver.lines_sent);
@@ -888,6 +837,23 @@
     }
 }
 
+/// The longest that a query may be out.
+fn longest(fleet: &Fleet) -> Duration {
+    fleet.classes.iter().map(|c| c.outer_limit).max().unwrap_or_default()
+}
+
+/// A number that rises with each start, whatever the clock says: what an earlier start published is told apart by it.
+fn next_epoch(shelf: &Shelf) -> io::Result<u64> {
+    let last = shelf.read("epoch.xml")?.and_then(|e| e.text.parse::<u64>().ok()).unwrap_or(0);
+    let epoch = wall_ms().max(last + 1);
+    keep_epoch(shelf, epoch)?;
+    Ok(epoch)
+}
+
+fn keep_epoch(shelf: &Shelf, epoch: u64) -> io::Result<()> {
+    shelf.write("epoch.xml", &Element::leaf("", "epoch", epoch))
+}
+
 /// The build, for a record: another one may decide otherwise.
 pub const BUILD: &str = concat!("runloom ", env!("CARGO_PKG_VERSION"));
 
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -26,6 +26,9 @@
     planner.try_out(trial);
     println!("edits {}", at.edits);
     println!("home {}", at.home);
+    if let Some(pubsub) = at.pubsub {
+        println!("pubsub {pubsub}");
+    }
     if let Some(metrics) = at.metrics {
         println!("metrics {metrics}");
     }
--- a/driver/src/lib.rs
+++ b/driver/src/lib.rs
@@ -11,7 +11,7 @@
 use runloom::Planner;
 use runloom_guard::{Guard, Terms};
 use runloom_model::fleet::Fleet;
-use runloom_model::order::Report;
+use runloom_model::order::{Message, Report, TableEdit};
 use runloom_record::Happened;
 use runloom_roster::Change;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
@@ -25,8 +25,13 @@
 /// What a shell has to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Deed {
-    /// One message to one proxy, numbered from 1 on at each proxy. Proxies on the same tables share the text.
-    Send { proxy: Proxy, number: u64, body: Rc<str>, lines: usize },
+    /// A table changed, or is whole as it is given; ahead of the orders that it goes out with.
+    Table { table: Table, edit: TableEdit },
+    /// Servers that are out whatever tables say, or no longer.
+    Withdrawn { servers: BTreeMap<String, bool> },
+    /// One order to one proxy, numbered from 1 on at each proxy. Proxies on the same tables share the message, which
+    /// is what the order says; what goes out by it is the front's matter.
+    Send { proxy: Proxy, number: u64, message: Rc<Message>, lines: usize },
     /// Ask the server how it is; the answer goes to [`Driver::probed`].
     Probe { server: Server, address: SocketAddr },
     /// A line for the log.
@@ -473,7 +478,12 @@
             class: &|c| self.fleet.classes.get(c).map_or("?", |class| class.name.as_str()),
         };
         let members: Vec<Proxy> = self.members.keys().copied().collect();
-        for (proxy, body, lines) in self.tables.take_messages(&members, also, &names) {
+        let (changed, withdrawn) = self.tables.changed(&names);
+        deeds.extend(changed.into_iter().map(|(table, edit)| Deed::Table { table, edit }));
+        if !withdrawn.is_empty() {
+            deeds.push(Deed::Withdrawn { servers: withdrawn });
+        }
+        for (proxy, message, lines) in self.tables.take_messages(&members, also, &names) {
             let Some(member) = self.members.get_mut(&proxy) else { continue };
             member.number += 1;
             member.ordered_at = Some(now);
@@ -482,7 +492,7 @@
             self.lines_sent += lines as u64;
             self.messages_sent += 1;
             ordered.proxies.push((proxy, member.number));
-            deeds.push(Deed::Send { proxy, number: member.number, body, lines });
+            deeds.push(Deed::Send { proxy, number: member.number, message, lines });
         }
         self.most_waiting = self.most_waiting.max(self.lines_waiting());
     }
--- a/driver/src/tables.rs
+++ b/driver/src/tables.rs
@@ -112,22 +112,30 @@
         bound.laid.insert(table);
     }
 
-    /// The messages since the last time: proxy, text, lines; also one without lines to those of `also` whom
+    /// What changed since the last messages: tables, and servers withdrawn or let in again.
+    pub fn changed(&self, names: &Names) -> (Vec<(Table, TableEdit)>, BTreeMap<String, bool>) {
+        let changed = self.deltas.iter().map(|(table, delta)| (*table, self.delta(delta, names)));
+        let named = self.newly.iter().map(|(s, out)| ((names.server)(*s).to_string(), *out));
+        (changed.collect(), named.collect())
+    }
+
+    /// The messages since the last time: proxy, message, lines; also one without lines to those of `also` whom
     /// nothing concerns.
     pub fn take_messages(
         &mut self,
         members: &[Proxy],
         also: &BTreeSet<Proxy>,
         names: &Names,
-    ) -> Vec<(Proxy, Rc<str>, usize)> {
-        let mut shared: BTreeMap<Vec<Table>, (Rc<str>, usize)> = BTreeMap::new();
+    ) -> Vec<(Proxy, Rc<Message>, usize)> {
+        let mut shared: BTreeMap<Vec<Table>, (Rc<Message>, usize)> = BTreeMap::new();
         let mut messages = Vec::new();
         for proxy in members {
             let Some(bound) = self.bound.get(proxy) else { continue };
             let on: BTreeSet<Table> = bound.by_class.values().copied().collect();
             if !bound.fresh.is_empty() {
                 let message = self.bind_message(bound, &on, names);
-                messages.push((*proxy, Rc::from(message.to_text()), message.lines()));
+                let lines = message.lines();
+                messages.push((*proxy, Rc::new(message), lines));
                 continue;
             }
             let changed: Vec<Table> = on.iter().copied().filter(|t| self.deltas.contains_key(t)).collect();
@@ -137,10 +145,11 @@
             if changed.is_empty() && !withdrawals && !wanted {
                 continue;
             }
-            // Proxies on the same changed tables get the same text, made once.
+            // Proxies on the same changed tables get the same message, made once.
             let made = shared.entry(changed).or_insert_with_key(|changed| {
                 let message = self.delta_message(changed, withdrawals, names);
-                (Rc::from(message.to_text()), message.lines())
+                let lines = message.lines();
+                (Rc::new(message), lines)
             });
             messages.push((*proxy, made.0.clone(), made.1));
         }
--- a/driver/src/tests.rs
+++ b/driver/src/tests.rs
@@ -32,13 +32,9 @@
     driver
 }
 
-fn bodies(deeds: &[Deed]) -> Vec<&str> {
-    let body = |d: &'_ Deed| matches!(d, Deed::Send { .. });
-    deeds
-        .iter()
-        .filter(|d| body(d))
-        .map(|d| if let Deed::Send { body, .. } = d { &**body } else { "" })
-        .collect()
+fn bodies(deeds: &[Deed]) -> Vec<String> {
+    let text = |d: &Deed| if let Deed::Send { message, .. } = d { Some(message.to_text()) } else { None };
+    deeds.iter().filter_map(text).collect()
 }
 
 const fn ms(n: u64) -> Duration {
@@ -69,11 +65,12 @@
     driver.turn(ms(300));
     driver.list(Listing::Changes, vec![("s2".into(), server(2, true))]);
     let (deeds, ordered) = driver.turn(ms(400));
-    let sent: Vec<&Rc<str>> = deeds
-        .iter()
-        .filter_map(|d| if let Deed::Send { body, .. } = d { Some(body) } else { None })
-        .collect();
-    assert!(Rc::ptr_eq(sent[0], sent[1]));
+    let message = |d: &'_ Deed| if let Deed::Send { message, .. } = d { Some(message.clone()) } else { None };
+    let shared: Vec<Rc<Message>> = deeds.iter().filter_map(message).collect();
+    assert!(Rc::ptr_eq(&shared[0], &shared[1]));
+    let tables: Vec<&Deed> = deeds.iter().filter(|d| matches!(d, Deed::Table { .. })).collect();
+    assert!(matches!(tables[..], [Deed::Table { edit, .. }] if edit.lines["s2"].1 == 0.0), "{tables:?}");
+    let sent = bodies(&deeds);
     assert!(sent[0].contains("<line nc:operation=\"remove\"><server>s2</server></line>"), "{}", sent[0]);
     assert!(ordered.servers.contains("s2") && ordered.proxies.len() == 2);
 }
--- a/driver/src/witness.rs
+++ b/driver/src/witness.rs
@@ -82,15 +82,17 @@
         (vec![], BTreeMap::new(), vec![], vec![], vec![]);
     for deed in deeds {
         match deed {
-            Deed::Send { proxy, number, body, lines } => {
-                let text = *places.entry(Rc::as_ptr(body) as *const u8 as usize).or_insert_with(|| {
-                    texts.push(body.to_string());
+            Deed::Send { proxy, number, message, lines } => {
+                let text = *places.entry(Rc::as_ptr(message) as usize).or_insert_with(|| {
+                    texts.push(message.to_text());
                     texts.len() as u32 - 1
                 });
                 let proxy = driver.proxy_name(*proxy).to_string();
                 sent.push(entry::Sent { proxy, number: *number, text, lines: *lines as u32 });
             }
             Deed::Probe { server, .. } => probes.push(driver.server_name(*server).to_string()),
+            // Told by the orders that they come with.
+            Deed::Table { .. } | Deed::Withdrawn { .. } => {}
             Deed::Log { text } => log.push(text.clone()),
         }
     }
--- a/forward/src/published.rs
+++ b/forward/src/published.rs
@@ -4,6 +4,7 @@
 use runloom_model::order::{read_level, read_line};
 use runloom_publish::reader::{self, Reader};
 use runloom_publish::{Key, Kind, Topic};
+use std::collections::btree_map::Entry;
 
 /// Which class goes by which table, as it is published to one proxy.
 pub const BINDS: Topic = Topic { kind: Kind::Binds, table: 0 };
@@ -33,9 +34,8 @@
             reader.held(topic).filter(of_this).map(|held| (topic, held))
         });
         let Some((topic, published)) = published else { return Ok(None) };
-        if !held.tables.contains_key(&number) {
-            let table = table(topic, published).map_err(|reason| Unusable { topic, reason })?;
-            held.tables.insert(number, table);
+        if let Entry::Vacant(place) = held.tables.entry(number) {
+            place.insert(table(topic, published).map_err(|reason| Unusable { topic, reason })?);
         }
         held.binds.insert(class.clone(), number);
     }
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -331,6 +331,8 @@
     pub name: String,
     pub edits: SocketAddr,
     pub home: SocketAddr,
+    /// Where proxies subscribe to their tables, if they may.
+    pub pubsub: Option<SocketAddr>,
     pub metrics: Option<SocketAddr>,
     pub folder: PathBuf,
     /// Where what happens is recorded, if it is, and how many bytes of it are kept.
@@ -359,6 +361,7 @@
             name: r.text("name").to_string(),
             edits: address("edits")?,
             home: address("home")?,
+            pubsub: planner.child("pubsub").map(|_| address("pubsub")).transpose()?,
             metrics: planner.child("metrics").map(|_| address("metrics")).transpose()?,
             folder: PathBuf::from(r.text("folder")),
             record: planner.child("record").and_then(|e| e.text_of("folder")).map(PathBuf::from),
--- a/model/src/forwarder.rs
+++ b/model/src/forwarder.rs
@@ -5,12 +5,36 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+/// How a proxy is told its tables.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Told {
+    /// The planner edits them.
+    #[default]
+    Edits,
+    /// It subscribes to them.
+    Weights,
+    /// It subscribes to subsets of servers, and picks among them evenly.
+    Subsets,
+}
+
+impl Told {
+    fn named(word: Option<&str>) -> Told {
+        match word {
+            Some("pubsub") => Told::Weights,
+            Some("pubsub-subsets") => Told::Subsets,
+            _ => Told::Edits,
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub struct Stand {
     pub name: String,
     pub zone: String,
     pub listen: SocketAddr,
-    /// Planners to dial, in this order.
+    /// How it is told its tables.
+    pub front: Told,
+    /// Planners to dial, in this order: where they take those who are told in this way.
     pub planners: Vec<SocketAddr>,
     pub papers: Papers,
     pub pick: String,
@@ -38,6 +62,7 @@
             name: text("name"),
             zone: text("zone"),
             listen: address(&text("listen"), "listen")?,
+            front: Told::named(e.text_of("front")),
             planners,
             papers: Papers::read(e),
             pick: text("pick"),
--- a/mqtt/src/names.rs
+++ b/mqtt/src/names.rs
@@ -1,7 +1,7 @@
 //! Topics, and who may have them: `runloom/<planner>/<proxy>/<kind>/<table>` for tables, which the planner alone
 //! writes, and `runloom/<planner>/<proxy>/report`, which that proxy alone writes.
 
-use runloom_publish::{Kind, Topic};
+use runloom_publish::{Kind, Topic, Wanted};
 
 /// The first level of all topics.
 const ROOT: &str = "runloom";
@@ -11,12 +11,14 @@
         Kind::Weights => "weights",
         Kind::Subset => "subset",
         Kind::Range => "range",
+        Kind::Withdrawn => "withdrawn",
         Kind::Binds => "binds",
     }
 }
 
 fn kind(word: &str) -> Option<Kind> {
-    [Kind::Weights, Kind::Subset, Kind::Range, Kind::Binds].into_iter().find(|k| self::word(*k) == word)
+    let all = [Kind::Weights, Kind::Subset, Kind::Range, Kind::Withdrawn, Kind::Binds];
+    all.into_iter().find(|k| self::word(*k) == word)
 }
 
 /// Whether a planner or proxy can be named in a topic: no level's end, no wildcard, no control character, and short.
@@ -27,8 +29,20 @@
     !name.is_empty() && name.len() <= MOST && !name.contains(bad)
 }
 
+/// A table's name. A proxy has one table of binds, whatever its number at this planner: 0.
 pub fn table(planner: &str, proxy: &str, topic: Topic) -> String {
-    format!("{ROOT}/{planner}/{proxy}/{}/{}", word(topic.kind), topic.table)
+    let number = if topic.kind == Kind::Binds { 0 } else { topic.table };
+    format!("{ROOT}/{planner}/{proxy}/{}/{number}", word(topic.kind))
+}
+
+/// All of a proxy's own tables.
+pub fn all(planner: &str, proxy: &str) -> String {
+    format!("{ROOT}/{planner}/{proxy}/#")
+}
+
+/// Its tables of one kind.
+pub fn all_of(planner: &str, proxy: &str, kind: Kind) -> String {
+    format!("{ROOT}/{planner}/{proxy}/{}/+", word(kind))
 }
 
 pub fn report(planner: &str, proxy: &str) -> String {
@@ -44,19 +58,6 @@
     Some(Topic { kind: kind(kind_of)?, table })
 }
 
-/// Which of its own tables a proxy wants.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Wanted {
-    pub kind: Option<Kind>,
-    pub table: Option<u16>,
-}
-
-impl Wanted {
-    pub fn covers(&self, topic: Topic) -> bool {
-        self.kind.is_none_or(|k| k == topic.kind) && self.table.is_none_or(|t| t == topic.table)
-    }
-}
-
 /// Why a filter is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refused {
--- a/mqtt/src/session.rs
+++ b/mqtt/src/session.rs
@@ -1,8 +1,7 @@
 //! One connection at the planner. Who is at the other end is known by its certificate before the first byte; what
 //! it says of itself must agree with that.
 
-use crate::body;
-use crate::names::{self, Refused, Wanted};
+use crate::names::{self, Refused};
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::event::{GenericEvent, TimerKind};
 use mqtt_protocol_core::mqtt::connection::ConnectionOptions;
@@ -15,8 +14,9 @@
     ConnectReasonCode, DisconnectReasonCode, PubackReasonCode, SubackReasonCode, UnsubackReasonCode,
 };
 use mqtt_protocol_core::mqtt::{role, Connection, Version};
-use runloom_publish::{Part, Topic};
+use runloom_publish::{Topic, Wanted};
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The largest message that a proxy may send: a report on some hundreds of servers.
@@ -30,11 +30,21 @@
 /// Filters in one subscription: as many as a proxy has tables.
 const FILTERS_MOST: usize = 33;
 
+/// What a proxy says of itself when it connects, in user properties of these names.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Hello {
+    pub zone: String,
+    /// Queries a second.
+    pub rate: f64,
+    /// It holds nothing but what it started with.
+    pub fresh: bool,
+}
+
 /// What a proxy said.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Heard {
-    /// It is connected, and may be told.
-    Connected,
+    /// It is connected, and says what it is.
+    Connected(Hello),
     /// It wants these tables of its own, and holds what it says of some: epoch and version.
     Wants {
         wanted: Vec<Wanted>,
@@ -219,9 +229,18 @@
             self.over = Some(Over::Refused(format!("{code:?}")));
             return;
         }
+        let said = |name: &str| {
+            let of = |p: &Property| p.as_key_value().filter(|(k, _)| *k == name).map(|(_, v)| v.to_string());
+            p.props().iter().find_map(of)
+        };
+        let hello = Hello {
+            zone: said("zone").unwrap_or_default(),
+            rate: said("rate").and_then(|r| r.parse().ok()).filter(|r: &f64| r.is_finite()).unwrap_or(0.0),
+            fresh: said("fresh").as_deref() == Some("true"),
+        };
         self.connected = true;
         self.silent_at = Some(now + Duration::from_secs(u64::from(ALIVE)) * 3 / 2);
-        heard.push(Heard::Connected);
+        heard.push(Heard::Connected(hello));
     }
 
     fn subscribed(&mut self, now: Duration, p: &v5_0::Subscribe, heard: &mut Vec<Heard>) {
@@ -299,21 +318,26 @@
         }
     }
 
-    /// Sends a part of an update under a number. False: it cannot be sent now, since the proxy takes no more at a time.
-    pub fn tell(&mut self, now: Duration, number: u64, part: &Part) -> bool {
+    /// How many more messages the proxy takes now.
+    pub fn room(&self) -> usize {
         if !self.connected || self.over.is_some() {
-            return false;
+            return 0;
         }
-        if self.link.get_receive_maximum_vacancy_for_send().is_some_and(|room| room == 0) {
+        self.link.get_receive_maximum_vacancy_for_send().map_or(usize::MAX, usize::from)
+    }
+
+    /// Sends a part of an update, as [`crate::body`] writes it, under a number. False: there is no [`Session::room`].
+    pub fn tell(&mut self, now: Duration, number: u64, topic: Topic, body: Arc<[u8]>) -> bool {
+        if self.room() == 0 {
             return false;
         }
         let Ok(id) = self.link.acquire_packet_id() else { return false };
         let message = v5_0::Publish::builder()
-            .topic_name(names::table(&self.planner, &self.proxy, part.topic))
-            .map(|b| b.qos(Qos::AtLeastOnce).packet_id(id).payload(body::write(part)))
+            .topic_name(names::table(&self.planner, &self.proxy, topic))
+            .map(|b| b.qos(Qos::AtLeastOnce).packet_id(id).payload(body))
             .and_then(|b| b.build());
         let Ok(message) = message else { return false };
-        self.flying.insert(id, (number, part.topic));
+        self.flying.insert(id, (number, topic));
         self.send(now, message);
         true
     }
--- a/mqtt/src/tests.rs
+++ b/mqtt/src/tests.rs
@@ -1,5 +1,5 @@
-use crate::names::{self, Refused, Wanted};
-use crate::session::{Heard, Over, Session};
+use crate::names::{self, Refused};
+use crate::session::{Heard, Hello, Over, Session};
 use mqtt_protocol_core::mqtt::common::Cursor;
 use mqtt_protocol_core::mqtt::connection::event::GenericEvent;
 use mqtt_protocol_core::mqtt::packet::{
@@ -11,7 +11,7 @@
 use mqtt_protocol_core::mqtt::{role, Connection, Version};
 use proptest::prelude::*;
 use runloom_publish::reader::{Reader, Taken};
-use runloom_publish::{Change, Key, Kind, Part, Publisher, Topic, WINDOW};
+use runloom_publish::{Change, Key, Kind, Part, Publisher, Topic, Wanted, WINDOW};
 use std::time::Duration;
 
 const TABLE: Topic = Topic { kind: Kind::Weights, table: 3 };
@@ -80,11 +80,15 @@
     }
 }
 
+fn tell(session: &mut Session, number: u64, part: &Part) -> bool {
+    session.tell(ZERO, number, part.topic, crate::body::write(part).into())
+}
+
 /// A session and a proxy, connected.
 fn pair() -> (Session, Proxy) {
     let (mut session, mut proxy) = (Session::new(ZERO, "p", "f1"), Proxy::new());
     let hello = proxy.connect("f1");
-    assert_eq!(session.take(ZERO, &hello), vec![Heard::Connected]);
+    assert_eq!(session.take(ZERO, &hello), vec![Heard::Connected(Hello::default())]);
     proxy.take(&session.output());
     assert!(
         matches!(proxy.got.pop(), Some(GenericPacket::V5_0Connack(a)) if a.reason_code() == ConnectReasonCode::Success)
@@ -212,7 +216,7 @@
         assert!(publisher.subscribe("f1", TABLE, held));
         let mut count = 0;
         while let Some((number, part)) = publisher.next(ZERO, "f1") {
-            assert!(session.tell(ZERO, number, &part));
+            assert!(tell(&mut session, number, &part));
             count += 1;
         }
         assert_eq!((count, session.flying()), (parts, parts), "round {round}");
@@ -242,13 +246,13 @@
     let (mut session, mut proxy) = pair();
     let part =
         Part { topic: TABLE, epoch: 9, from: None, to: 1, part: 0, of: 1, changes: [line(1, 1)].into() };
-    assert!(session.tell(ZERO, 44, &part));
+    assert!(tell(&mut session, 44, &part));
     proxy.take(&session.output());
     let Some(GenericPacket::V5_0Publish(message)) = proxy.got.pop() else { panic!("no message") };
     let word = proxy.confirm(message.packet_id().unwrap(), PubackReasonCode::PayloadFormatInvalid);
     assert_eq!(session.take(ZERO, &word), vec![Heard::Lacks(44, TABLE)]);
     // Nobody listens: what goes out is bounded by who asks, and the publisher asks for a window at the most.
-    assert!((0..WINDOW).all(|k| session.tell(ZERO, 50 + k as u64, &part)));
+    assert!((0..WINDOW).all(|k| tell(&mut session, 50 + k as u64, &part)));
 }
 
 proptest! {
--- a/publish/src/reader.rs
+++ b/publish/src/reader.rs
@@ -1,7 +1,7 @@
 //! The subscriber's side: it takes updates whole, never goes back, and asks anew where one is missing.
 
 use crate::{Change, Key, Kind, Part, Topic, Version};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// What became of a part.
@@ -41,6 +41,9 @@
 pub struct Reader {
     held: BTreeMap<Topic, Held>,
     pending: BTreeMap<Topic, Pending>,
+    /// Tables taken on this stream: on it nothing goes back. A stream's first snapshot of a table is taken whatever is
+    /// held, for a planner that lost its folder, or another one, may count its starts from anywhere.
+    here: BTreeSet<Topic>,
 }
 
 impl Reader {
@@ -71,11 +74,13 @@
     /// The stream broke: half an update is none. Tables stay in force.
     pub fn broke(&mut self) {
         self.pending.clear();
+        self.here.clear();
     }
 
     pub fn take(&mut self, part: &Part) -> Taken {
         let held = self.held.get(&part.topic);
-        if held.is_some_and(|h| (part.epoch, part.to) < (h.epoch, h.version)) {
+        let strict = part.from.is_some() || self.here.contains(&part.topic);
+        if strict && held.is_some_and(|h| (part.epoch, part.to) < (h.epoch, h.version)) {
             return Taken::Stale;
         }
         let base = |h: &Held| h.epoch == part.epoch && Some(h.version) == part.from;
@@ -103,6 +108,7 @@
             return Taken::Waits;
         }
         let Some(whole) = self.pending.remove(&part.topic) else { return Taken::Lacks };
+        self.here.insert(part.topic);
         let held = self.held.entry(part.topic).or_default();
         if whole.from.is_none() {
             held.state.clear();
--- a/rig/src/day.rs
+++ b/rig/src/day.rs
@@ -25,6 +25,20 @@
     pub dropped: bool,
 }
 
+/// How forwarders are told their tables.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, clap::ValueEnum)]
+pub enum Fronts {
+    /// By edits.
+    #[default]
+    Netconf,
+    /// They subscribe.
+    Pubsub,
+    /// Every other one subscribes.
+    Mixed,
+    /// They subscribe to subsets.
+    Subsets,
+}
+
 #[derive(Debug, Clone)]
 pub struct Day {
     pub lasts: Duration,
@@ -45,6 +59,7 @@
     pub lines_per_second: u64,
     /// The planners' `<fleet>`, if another than the day's own.
     pub fleet: Option<String>,
+    pub fronts: Fronts,
     /// Whether planners record.
     pub recorded: bool,
     pub troubles: Vec<Trouble>,
@@ -119,6 +134,7 @@
         levels: text(e, "levels"),
         lines_per_second: number(e, "lines-per-second", 20_000.0) as u64,
         fleet: None,
+        fronts: Fronts::default(),
         recorded: true,
         troubles: e.named("trouble").map(|t| trouble(t)).collect(),
         edits: e.named("edit").map(|t| edit(t)).collect(),
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -50,6 +50,9 @@
         /// Another `<fleet>` for the planners than the day's own, as `runloom replay --fleet` takes it.
         #[arg(long)]
         fleet: Option<PathBuf>,
+        /// How forwarders are told their tables.
+        #[arg(long, value_enum, default_value_t)]
+        front: day::Fronts,
     },
     /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, recording, guard, spoilt, pairs; one figure a line, `name value unit`.
     Measure {
@@ -95,10 +98,11 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
     let outcome = match line.command {
         Command::Demo => read("demo", None).and_then(|day| play("demo", day, 1, Report::Text, None, &[])),
-        Command::Day { file, seed, report, keep, spoil, unguarded, fleet } => {
+        Command::Day { file, seed, report, keep, spoil, unguarded, fleet, front } => {
             let mut trial: Vec<String> = spoil.map(|way| format!("--spoil={way}")).into_iter().collect();
             trial.extend(unguarded.then(|| "--unguarded".to_string()));
-            read(&file, fleet).and_then(|day| play(&file, day, seed, report, keep, &trial))
+            let day = read(&file, fleet).map(|day| day::Day { fronts: front, ..day });
+            day.and_then(|day| play(&file, day, seed, report, keep, &trial))
         }
         Command::Measure { name, keep, seed } => measured(&name, keep, seed),
         Command::Again { folder, back } => again(&folder, back),
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -1,7 +1,7 @@
 //! Measurements: one figure a line, `name value unit`. Sizes are told with the names.
 
 use crate::clients::Clients;
-use crate::day::{Day, Edit};
+use crate::day::{Day, Edit, Fronts};
 use crate::issuer::Issuer;
 use crate::servers::Servers;
 use crate::world::World;
@@ -66,6 +66,7 @@
     };
     Day {
         fleet: None,
+        fronts: Fronts::default(),
         recorded: true,
         lasts: Duration::from_secs(seconds),
         servers,
@@ -212,6 +213,7 @@
         name: "f0".into(),
         zone: "z0".into(),
         listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+        front: Default::default(),
         planners: vec![],
         papers,
         pick: "less-busy".into(),
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -3,7 +3,7 @@
 
 use crate::check::{broken, Arrival, Evidence, Limits, Look};
 use crate::clients::{Clients, CLASSES};
-use crate::day::{Day, Trouble};
+use crate::day::{Day, Fronts, Trouble};
 use crate::issuer::Issuer;
 use crate::servers::{Health, Servers, COLD_FROM};
 use crate::staff::{self, List, Outcome, Shared};
@@ -11,10 +11,11 @@
 use rand::{Rng, SeedableRng};
 use runloom_daemon::forwarder::Forwarder;
 use runloom_daemon::papers::{PLANNER, PROXY};
+use runloom_daemon::planner::Reachable;
 use runloom_daemon::wall_ms;
 use runloom_forward::Counts;
 use runloom_model::fleet::{Class, Listed, Papers, Repeats};
-use runloom_model::forwarder::Stand;
+use runloom_model::forwarder::{Stand, Told};
 use runloom_turn::{Conn, Happened, Turn, Why};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader};
@@ -34,6 +35,7 @@
     settings: PathBuf,
     pub edits: SocketAddr,
     pub home: SocketAddr,
+    pub pubsub: Option<SocketAddr>,
     pub metrics: SocketAddr,
 }
 
@@ -45,7 +47,7 @@
         seed: u64,
         log: &Path,
         trial: &[&str],
-    ) -> Result<(Child, Vec<SocketAddr>), String> {
+    ) -> Result<(Child, Reachable), String> {
         let file =
             std::fs::OpenOptions::new().create(true).append(true).open(log).map_err(|e| e.to_string())?;
         let mut child = Command::new(own)
@@ -58,17 +60,27 @@
             .spawn()
             .map_err(|e| e.to_string())?;
         let out = child.stdout.take().ok_or("no output")?;
-        let mut at = Vec::new();
-        for line in BufReader::new(out).lines().take(3) {
+        let mut at: BTreeMap<String, SocketAddr> = BTreeMap::new();
+        for line in BufReader::new(out).lines() {
             let line = line.map_err(|e| e.to_string())?;
-            at.extend(line.split(' ').nth(1).and_then(|a| a.parse::<SocketAddr>().ok()));
+            let Some((name, address)) = line.split_once(' ') else { break };
+            at.extend(address.parse().map(|a| (name.to_string(), a)));
+            // The last of them.
+            if name == "metrics" {
+                break;
+            }
         }
-        if at.len() < 3 {
-            let _ = child.kill();
-            let _ = child.wait();
-            return Err(format!("the planner did not start: see {}", log.display()));
+        match (at.get("edits"), at.get("home"), at.get("metrics").copied()) {
+            (Some(edits), Some(home), metrics @ Some(_)) => {
+                let pubsub = at.get("pubsub").copied();
+                Ok((child, Reachable { edits: *edits, home: *home, pubsub, metrics }))
+            }
+            _ => {
+                let _ = child.kill();
+                let _ = child.wait();
+                Err(format!("the planner did not start: see {}", log.display()))
+            }
         }
-        Ok((child, at))
     }
 
     pub fn kill(&mut self) {
@@ -253,21 +265,22 @@
         let papers = issuer.issue(&format!("planner-{planner}"), Some(PLANNER))?;
         let settings = self.folder.join(format!("planner-{planner}.xml"));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
-        let write = |at: [SocketAddr; 3]| {
+        let write = |at: [SocketAddr; 4]| {
             std::fs::write(&settings, self.planner_xml(planner, &papers, at)).map_err(|e| e.to_string())
         };
-        write([any; 3])?;
+        write([any; 4])?;
         let log = self.folder.join(format!("planner-{planner}.log"));
         let trial: Vec<&str> = self.trial.iter().map(String::as_str).collect();
         let (child, at) = Process::spawn(&self.own, &settings, self.seed, &log, &trial)?;
         // A restart must be found where the first start was.
-        write([at[0], at[1], at[2]])?;
-        let (edits, home, metrics) = (at[0], at[1], at[2]);
-        self.planners.push(Process { child: Some(child), settings, edits, home, metrics });
+        let Reachable { edits, home, pubsub, metrics } = at;
+        let metrics = metrics.ok_or("no metrics")?;
+        write([edits, home, pubsub.unwrap_or(any), metrics])?;
+        self.planners.push(Process { child: Some(child), settings, edits, home, pubsub, metrics });
         Ok(())
     }
 
-    fn planner_xml(&self, planner: usize, papers: &Papers, at: [SocketAddr; 3]) -> String {
+    fn planner_xml(&self, planner: usize, papers: &Papers, at: [SocketAddr; 4]) -> String {
         let d = &self.day;
         let zones: String = (0..d.zones).map(|z| format!("<zone><name>z{z}</name></zone>")).collect();
         let classes: String = CLASSES.iter().map(class_xml).collect();
@@ -297,11 +310,12 @@
         );
         format!(
             "<planner xmlns=\"urn:runloom:fleet\">\n<name>planner-{planner}</name><edits>{}</edits><home>{}</home>\
-             <metrics>{}</metrics><folder>{}</folder>\n{record}{}\n{}\n\
+             <pubsub>{}</pubsub><metrics>{}</metrics><folder>{}</folder>\n{record}{}\n{}\n\
              <roster>{listed}</roster></planner>\n",
             at[0],
             at[1],
             at[2],
+            at[3],
             folder.display(),
             tls_xml(papers),
             d.fleet.as_ref().unwrap_or(&fleet)
@@ -320,7 +334,14 @@
         let mut listens = Vec::new();
         for f in 0..self.day.forwarders {
             let name = format!("f{f}");
-            let mut homes: Vec<SocketAddr> = self.planners.iter().map(|p| p.home).collect();
+            let front = match self.day.fronts {
+                Fronts::Pubsub => Told::Weights,
+                Fronts::Mixed if f % 2 == 1 => Told::Weights,
+                Fronts::Subsets => Told::Subsets,
+                Fronts::Netconf | Fronts::Mixed => Told::Edits,
+            };
+            let place = |p: &Process| if front == Told::Edits { Some(p.home) } else { p.pubsub };
+            let mut homes: Vec<SocketAddr> = self.planners.iter().filter_map(place).collect();
             let count = homes.len();
             homes.rotate_left(f % count);
             // A few servers of its own zone, as a process finds them in its start-up files.
@@ -332,6 +353,7 @@
                 standing: near.map(|s| (s.name.clone(), s.address)).collect(),
                 zone,
                 listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+                front,
                 planners: homes,
                 pick: self.day.pick.clone(),
                 shun_after: 3,
@@ -655,7 +677,8 @@
             self.evidence.messages.entry(f).or_default().push(now);
         }
         let home = held.forwarder.planner();
-        let joined = home.and_then(|at| self.planners.iter().position(|p| p.home == at));
+        let joined =
+            home.and_then(|at| self.planners.iter().position(|p| p.home == at || p.pubsub == Some(at)));
         if joined != held.joined.map(|j| j.1) {
             held.joined = joined.map(|planner| (now, planner));
             held.joins += usize::from(joined.is_some());
--- a/rig/tests/whole.rs
+++ b/rig/tests/whole.rs
@@ -6,7 +6,7 @@
 use runloom_model::{FLEET, STATE};
 use runloom_netconf::tree::Element;
 use runloom_netconf::BASE;
-use runloom_rig::day::{Day, Edit, Trouble};
+use runloom_rig::day::{Day, Edit, Fronts, Trouble};
 use runloom_rig::issuer::Issuer;
 use runloom_rig::world::{tls_xml, Outcomes, Process, World};
 use std::io::Write;
@@ -80,9 +80,9 @@
         let dies = dies.map(|point| format!("--dies={point}"));
         let trial: Vec<&str> = dies.iter().map(String::as_str).collect();
         let (child, at) = Process::spawn(&own(), &settings, 1, &folder.0.join("log"), &trial).unwrap();
-        write_settings(&settings, &folder.0, &papers, [at[0], at[1], at[2]]);
+        write_settings(&settings, &folder.0, &papers, [at.edits, at.home, at.metrics.unwrap()]);
         let terms = Terms::load(&issuer.issue("staff", None).unwrap()).unwrap();
-        Desk { folder, child, at: at[0], terms, issuer, settings }
+        Desk { folder, child, at: at.edits, terms, issuer, settings }
     }
 
     fn client(&self) -> Client {
@@ -255,6 +255,7 @@
     let ms = Duration::from_millis;
     Day {
         fleet: None,
+        fronts: Fronts::default(),
         recorded: true,
         lasts: ms(8000),
         servers,
