Tests of the second front over sockets; handshakes spread over turns; measurements of both fronts

Need: the failures that the front is for, caused; a planner whose turns stay short when all dial at once.

--- a/daemon/src/forwarder.rs
+++ b/daemon/src/forwarder.rs
@@ -19,7 +19,7 @@
 use runloom_netconf::session::{Bounds as SessionBounds, Heard, Role, Session};
 use runloom_netconf::tree::Element;
 use runloom_publish::reader::{Reader as Published, Taken};
-use runloom_publish::Part;
+use runloom_publish::{Part, Topic, Version};
 use runloom_turn::{Bounds, Conn, Happened, Security, Turn, Why};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
@@ -164,8 +164,8 @@
     rate: f64,
     /// Connections made since a host asked, who has several forwarders on one loop.
     pub made: Vec<Conn>,
-    /// Edits taken since a host asked: lines.
-    pub taken: Vec<usize>,
+    /// Edits and parts taken since a host asked: lines, and which version of a table a part made whole.
+    pub taken: Vec<(usize, Option<(Topic, Version)>)>,
     /// Reads nothing that a planner sends, for days on which that happens; what was read before it went deaf waits.
     deaf: bool,
     unheard: Vec<u8>,
@@ -656,7 +656,7 @@
         if let Some(held) = self.store.held.take() {
             let lines =
                 rpc.operation().child("config").and_then(|c| c.child("tables")).map_or(0, count_lines);
-            self.taken.push(lines);
+            self.taken.push((lines, None));
             self.proxy.hold(held);
         }
     }
@@ -690,9 +690,9 @@
         match reader.take(part) {
             Taken::Waits => true,
             Taken::Lacks | Taken::Stale => false,
-            Taken::Now(_) => match published::taken(reader, part.topic) {
+            Taken::Now(version) => match published::taken(reader, part.topic) {
                 Ok(held) => {
-                    self.taken.push(part.changes.len());
+                    self.taken.push((part.changes.len(), Some((part.topic, version))));
                     held.into_iter().for_each(|held| self.proxy.hold(held));
                     true
                 }
--- a/mqtt/src/tests.rs
+++ b/mqtt/src/tests.rs
@@ -1,3 +1,4 @@
+use crate::client::{self, Client, Told, Wish};
 use crate::names::{self, Refused};
 use crate::session::{Heard, Hello, Over, Session};
 use mqtt_protocol_core::mqtt::common::Cursor;
@@ -10,6 +11,7 @@
 };
 use mqtt_protocol_core::mqtt::{role, Connection, Version};
 use proptest::prelude::*;
+use runloom_model::order::{Met, Report};
 use runloom_publish::reader::{Reader, Taken};
 use runloom_publish::{Change, Key, Kind, Part, Publisher, Topic, Wanted, WINDOW};
 use std::time::Duration;
@@ -255,7 +257,110 @@
     assert!((0..WINDOW).all(|k| tell(&mut session, 50 + k as u64, &part)));
 }
 
+/// Passes all that either side has to say, in pieces, until neither has more.
+fn pass(session: &mut Session, client: &mut Client, cut: usize) -> (Vec<Heard>, Vec<Told>) {
+    let (mut heard, mut told) = (vec![], vec![]);
+    loop {
+        let (to, back) = (client.output(), session.output());
+        if to.is_empty() && back.is_empty() {
+            return (heard, told);
+        }
+        to.chunks(cut).for_each(|piece| heard.extend(session.take(ZERO, piece)));
+        back.chunks(cut).for_each(|piece| told.extend(client.take(ZERO, piece)));
+    }
+}
+
+/// Both sides of the program: what a proxy says of itself and holds, its tables and words, its reports, all in bytes cut
+/// anywhere.
+#[test]
+fn a_client_greets_subscribes_confirms_and_reports_through_bytes_cut_anywhere() {
+    for cut in [1, 2, 3, 7, 4096] {
+        let hello = Hello { zone: "z1".into(), rate: 2.5, fresh: true };
+        let holds = vec![(TABLE, 7, 12), (Topic { kind: Kind::Binds, table: 0 }, 7, 3)];
+        let mut client = Client::new(ZERO, "p", "f1", &hello, Wish::Weights, holds.clone());
+        let mut session = Session::new(ZERO, "p", "f1");
+        let (heard, told) = pass(&mut session, &mut client, cut);
+        assert_eq!((&heard[0], told.as_slice()), (&Heard::Connected(hello), &[Told::Joined][..]));
+        let Heard::Wants { wanted, holds: said } = &heard[1] else { panic!("{heard:?}") };
+        let covers = |kind| wanted.iter().any(|w| w.covers(Topic { kind, table: 9 }));
+        let wants = [Kind::Weights, Kind::Withdrawn, Kind::Binds, Kind::Subset].map(covers);
+        assert_eq!((said, wants), (&holds, [true, true, true, false]));
+        // A proxy's binds are its table 0, whatever the planner's number.
+        let topic = Topic { kind: Kind::Binds, table: 44 };
+        let change = Change { key: Key::Bind("q".into()), value: Some("1".into()) };
+        let part = Part { topic, epoch: 9, from: None, to: 1, part: 0, of: 1, changes: [change].into() };
+        assert!(tell(&mut session, 5, &part) && tell(&mut session, 6, &part));
+        let (_, told) = pass(&mut session, &mut client, cut);
+        let [Told::Part(a, got), Told::Part(b, _)] = &told[..] else { panic!("{told:?}") };
+        assert_eq!((got.topic.table, &got.changes), (0, &part.changes));
+        client.answer(ZERO, *a, true);
+        client.answer(ZERO, *b, false);
+        let met = Met { server: "s1".into(), tries: 3, load: vec![1.0, f64::NAN], ..Met::default() };
+        let report = Report { span: Duration::from_millis(500), met: vec![met], came: vec![] };
+        client.report(ZERO, crate::report::write(&report));
+        let (heard, _) = pass(&mut session, &mut client, cut);
+        let [Heard::Confirmed(5), Heard::Lacks(6, lacks), Heard::Report(body)] = &heard[..] else {
+            panic!("{heard:?}")
+        };
+        let read = crate::report::read(body).unwrap();
+        assert_eq!((*lacks, read.met[0].tries, read.met[0].load[1].is_nan()), (topic, 3, true));
+        // No more reports at a time than the planner takes; they stay with what comes next.
+        let sent = (0..20)
+            .take_while(|_| {
+                client.can_report() && {
+                    client.report(ZERO, vec![]);
+                    true
+                }
+            })
+            .count();
+        assert_eq!(sent, 4);
+        client.leave(ZERO);
+        pass(&mut session, &mut client, cut);
+        assert_eq!(session.over(), Some(&Over::Left));
+    }
+}
+
+#[test]
+fn a_client_shows_that_it_is_there_and_ends_what_is_silent_or_says_no() {
+    let new = |planner: &str, name: &str| {
+        Client::new(ZERO, planner, name, &Hello::default(), Wish::Subsets, vec![])
+    };
+    let mut mute = new("p", "f1");
+    mute.output();
+    let at = mute.wakes_at().unwrap();
+    mute.wake(at);
+    assert_eq!(mute.over(), Some(&client::Over::Silent));
+    let (mut session, mut there) = (Session::new(ZERO, "p", "f1"), new("p", "f1"));
+    pass(&mut session, &mut there, 9);
+    // Its sign of life is due before the planner's patience ends, and keeps it.
+    let at = there.wakes_at().unwrap();
+    assert!(at < session.wakes_at().unwrap());
+    there.wake(at);
+    session.take(at, &there.output());
+    assert!(session.wakes_at().unwrap() > at + Duration::from_secs(10));
+    there.take(at, &session.output());
+    there.wake(at + Duration::from_secs(6));
+    assert_eq!(there.over(), None);
+    for (planner, name) in [("q", "f1"), ("p", "f2")] {
+        let (mut session, mut other) = (Session::new(ZERO, "p", "f1"), new(planner, name));
+        pass(&mut session, &mut other, 9);
+        assert!(matches!(other.over(), Some(client::Over::Refused(_))), "{:?}", other.over());
+    }
+}
+
 proptest! {
+    /// Whatever bytes a planner sends: no panic, and an end or a wait.
+    #[test]
+    fn any_bytes_are_borne_by_a_client(bytes in prop::collection::vec(any::<u8>(), 0..300), greeted: bool, cut in 1usize..40) {
+        let mut client = Client::new(ZERO, "p", "f1", &Hello::default(), Wish::Weights, vec![]);
+        if greeted {
+            pass(&mut Session::new(ZERO, "p", "f1"), &mut client, 99);
+        }
+        bytes.chunks(cut).for_each(|piece| _ = client.take(ZERO, piece));
+        prop_assert!(client.output().len() < 4096);
+        let _ = crate::report::read(&bytes);
+    }
+
     /// Whatever bytes come, before the greeting or after: no panic, and an end or a wait.
     #[test]
     fn any_bytes_are_borne(bytes in prop::collection::vec(any::<u8>(), 0..300), greeted: bool, cut in 1usize..40) {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod clients;
 pub mod day;
+pub mod fronts;
 pub mod issuer;
 pub mod measure;
 pub mod pairs;
--- a/turn/src/lib.rs
+++ b/turn/src/lib.rs
@@ -96,6 +96,9 @@
 
 /// Connections taken from one listener in a turn: a storm of hundreds must not starve the rest.
 const ACCEPTED_MOST: usize = 64;
+/// Handshakes that a turn goes on with: one takes about a millisecond, and hundreds of proxies that dial at once must
+/// hold up neither orders nor confirmations. Those left out are ready again at the next turn.
+pub(crate) const HANDSHAKES_MOST: usize = 12;
 /// How long a finished connection waits for the other side to close too.
 const LINGER: Duration = Duration::from_secs(1);
 /// How often times are looked at when nothing else happens; idle and handshake bounds are this coarse.
@@ -319,7 +322,14 @@
         self.busy_since = Some(Instant::now());
         let mut happened = std::mem::take(&mut self.told);
         let ready: Vec<Event> = self.events.iter().collect();
+        let mut handshakes = 0;
         for event in ready {
+            if self.lines.get(&event.key).is_some_and(Line::is_shaking_hands) {
+                handshakes += 1;
+                if handshakes > HANDSHAKES_MOST {
+                    continue;
+                }
+            }
             self.ready(event, &mut happened);
         }
         if self.now() >= self.swept + SWEEP {
--- a/turn/src/line.rs
+++ b/turn/src/line.rs
@@ -105,6 +105,11 @@
         self.tls.is_none()
     }
 
+    /// Connected, and TLS is not agreed yet: the costly part of a connection.
+    pub fn is_shaking_hands(&self) -> bool {
+        !self.connecting && !self.open && self.tls.is_some()
+    }
+
     pub fn waiting(&self) -> usize {
         self.out.len() - self.written
     }
--- a/turn/src/tests.rs
+++ b/turn/src/tests.rs
@@ -180,3 +180,21 @@
     turn.hold(conn, false);
     until(&mut turn, |_, h| bytes(h).then_some(()));
 }
+
+/// Hundreds that dial at once must not make one turn as long as all their handshakes: a turn goes on with some, and
+/// all get there.
+#[test]
+fn a_storm_of_handshakes_is_spread_over_turns() {
+    let (mut turn, (answers, starts, _)) = (Turn::new().unwrap(), issue());
+    let (_, at) = turn.listen(any(), answers, Bounds::default()).unwrap();
+    let count = 5 * HANDSHAKES_MOST;
+    let dialled: Vec<Conn> = (0..count).map(|_| turn.dial(at, &starts, Bounds::default()).unwrap()).collect();
+    let (mut open, end) = (0, Instant::now() + Duration::from_secs(60));
+    while open < 2 * dialled.len() && Instant::now() < end {
+        let opened = turn.wait(None).unwrap();
+        let opened = opened.iter().filter(|h| matches!(h, Happened::Open { .. })).count();
+        assert!(opened <= HANDSHAKES_MOST, "{opened} handshakes in one turn");
+        open += opened;
+    }
+    assert_eq!(open, 2 * count, "both sides of each");
+}
