--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -613,6 +613,9 @@
     pub fn play(&mut self) -> Result<Outcomes, String> {
         self.settle_in()?;
         self.zero = self.turn.now();
+        // What is taken on coming in says how fast that goes, not how far behind anybody is.
+        self.first_taken.clear();
+        self.behind.reset();
         let shift = self.start.elapsed();
         let day = self.day.clone();
         self.agenda.extend(day.troubles.into_iter().map(|t| (t.at, What::Trouble(t))));
