Hints of an earlier start: swiftness and doubt, aged, never a verdict

Need: a restarted planner sends queries to servers that failed just before it stopped. Change: event Remembered and Planner::learned; a server in doubt comes back as one that was out and goes at its first failures; doubt of a third of the fleet counts for none.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -100,6 +100,26 @@
     Nothing,
 }
 
+/// What an earlier start knew of a server, as far as it still counts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Hint {
+    pub server: Server,
+    /// Its swiftness against what the list says, 1 where nothing is known.
+    pub swift: f64,
+    /// From 0 to 1: it was out for failing, just now.
+    pub doubt: f64,
+}
+
+/// What a planner knows of a server that may outlast it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Learned {
+    pub server: Server,
+    pub swift: f64,
+    /// When it was last out for failing, and whether it is so for long.
+    pub failed: Option<Duration>,
+    pub held: bool,
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -169,6 +189,10 @@
         after: Duration,
         load: Vec<f64>,
     },
+    /// What an earlier start learned of servers, aged; comes after the list, and says nothing about those not in it.
+    Remembered {
+        hints: Vec<Hint>,
+    },
     Woken {
         token: u64,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -2,7 +2,7 @@
 //! gauge, deal into groups, send. `docs/design.md` says what follows the source.
 
 use crate::interface::{Class, Server, Table};
-use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Listing, Mode, Order};
+use crate::interface::{Entry, Event, Facts, Found, FurtherTries, Hint, Learned, Listing, Mode, Order};
 use crate::state::{at, Channel, Gate, Group, Joined, Line, Node, Standing, Standing::*};
 use crate::sums::{blend, even_level, middle, near};
 use nanorand::{Rng, WyRand};
@@ -165,6 +165,7 @@
             Event::Refused { order: Order::Level { class, .. }, .. } => {
                 *at(&mut self.gate.sent, *class) = None
             }
+            Event::Remembered { hints } => self.remember(hints),
             Event::Woken { token } if *token == self.token => {
                 (self.token, self.pressing) = (self.token + 1, true);
                 // Four looks a beat: what waits for room in the channel goes out soon after there is some.
@@ -220,6 +221,36 @@
         }
     }
 
+    /// Hints of an earlier start, never verdicts (a departure, docs/design.md): a server in doubt comes back as one
+    /// that was out, and its first failures in a row count; what was met since the start counts for more.
+    fn remember(&mut self, hints: &[Hint]) {
+        let doubted = |h: &&Hint| h.doubt >= 0.3;
+        // Many in doubt at once had one cause, an overload or something shared: that says nothing of any one.
+        let serving = self.nodes.iter().filter(|n| n.in_service()).count();
+        let few = 3 * hints.iter().filter(doubted).count() <= serving;
+        for hint in hints.iter().filter(|h| h.swift.is_finite()) {
+            let Some(node) = self.nodes.get_mut(hint.server).filter(|n| n.in_service() && n.tries == 0.0)
+            else {
+                continue;
+            };
+            node.swift = hint.swift.clamp(0.4, 2.0);
+            if few && doubted(&hint) && node.standing == Eligible {
+                node.enter(Ramping, self.now);
+                node.run = (3.0 * hint.doubt.min(1.0)) as f32;
+            }
+        }
+    }
+
+    /// What may outlast this planner: servers that are not as the list has them.
+    pub fn learned(&self) -> impl Iterator<Item = Learned> + '_ {
+        self.nodes.iter().enumerate().filter(|(_, n)| n.ready()).filter_map(|(server, node)| {
+            let out = matches!(node.standing, Withdrawn | Probation | Held);
+            let failed = if out { Some(self.now) } else { node.withdrawals.back().copied() };
+            let learned = Learned { server, swift: node.swift, failed, held: node.standing == Held };
+            (node.swift != 1.0 || failed.is_some()).then_some(learned)
+        })
+    }
+
     /// Settles where each server stands, by what was met there and what its probes found.
     fn judge(&mut self, orders: &mut Vec<Order>) {
         let (now, slow, probes) = (self.now, self.slow(), self.facts.flag("probes.allowed"));
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -675,3 +675,65 @@
     planner.proxies = vec![Joined { group: None, ..proxy(None) }];
     assert_eq!(sent(&mut planner), vec![]);
 }
+
+// What outlasts a restart.
+
+fn hints(all: &[(Server, f64, f64)]) -> Event {
+    let hint =
+        |(server, swift, doubt): &(Server, f64, f64)| Hint { server: *server, swift: *swift, doubt: *doubt };
+    Event::Remembered { hints: all.iter().map(hint).collect() }
+}
+
+/// As the first list has them: in service, and nothing met yet.
+fn unmet() -> Node {
+    Node { tries: 0.0, ..well(0) }
+}
+
+#[test]
+fn a_server_in_doubt_comes_back_slowly_and_goes_at_its_first_failures() {
+    let mut planner = planner((0..6).map(|_| unmet()).collect());
+    planner.note(&hints(&[(0, 0.5, 0.9), (1, 0.7, 0.1), (9, 1.0, 1.0)]), &mut vec![]);
+    assert_eq!(standings(&planner)[..3], [Ramping, Eligible, Eligible]);
+    assert_eq!((planner.nodes[0].swift, planner.nodes[1].swift), (0.5, 0.7));
+    assert!(planner.weight(0) < 0.1 && planner.weight(1) == 0.7);
+    // Nothing good, and three seconds in which the others had it: out with two failures, where four are usual.
+    planner.now = NOW + secs(3);
+    for s in 1..6 {
+        planner.note(&met(s, 5, 0, secs(1)), &mut vec![]);
+    }
+    planner.note(&met(0, 2, 2, secs(1)), &mut vec![]);
+    planner.judge(&mut vec![]);
+    assert_eq!(standings(&planner)[..2], [Withdrawn, Eligible]);
+}
+
+#[test]
+fn a_server_in_doubt_that_answers_is_as_good_as_any_and_hints_that_come_late_say_nothing() {
+    let mut planner = planner((0..6).map(|_| unmet()).collect());
+    planner.note(&hints(&[(0, 1.0, 1.0)]), &mut vec![]);
+    planner.now = NOW + secs(11);
+    (0..6).for_each(|s| planner.note(&met(s, 9, 0, secs(1)), &mut vec![]));
+    planner.judge(&mut vec![]);
+    assert_eq!((planner.weight(0), planner.nodes[0].run), (1.0, 0.0));
+    planner.note(&hints(&[(0, 0.5, 1.0), (1, 0.5, 1.0)]), &mut vec![]);
+    assert!(planner.nodes.iter().all(|n| n.standing == Eligible && n.swift == 1.0));
+}
+
+#[test]
+fn doubt_of_many_at_once_is_of_none() {
+    let mut planner = planner((0..6).map(|_| unmet()).collect());
+    planner.note(&hints(&[(0, 0.6, 1.0), (1, 1.0, 1.0), (2, f64::NAN, 1.0)]), &mut vec![]);
+    assert!(planner.nodes.iter().all(|n| n.standing == Eligible));
+    assert_eq!((planner.nodes[0].swift, planner.nodes[2].swift), (0.6, 1.0));
+}
+
+#[test]
+fn what_is_learned_are_servers_that_are_not_as_the_list_has_them() {
+    let held = Node { standing: Held, withdrawals: [NOW - secs(9)].into(), ..well(0) };
+    let back = Node { withdrawals: [NOW - secs(50)].into(), ..well(0) };
+    let gone = Node { standing: Draining, swift: 0.5, ..well(0) };
+    let planner = planner(vec![well(0), held, back, gone, Node { swift: 0.6, ..well(0) }]);
+    let all: Vec<Learned> = planner.learned().collect();
+    let learned = |server, swift, failed, held| Learned { server, swift, failed, held };
+    let back = learned(2, 1.0, Some(NOW - secs(50)), false);
+    assert_eq!(all, [learned(1, 1.0, Some(NOW), true), back, learned(4, 0.6, None, false)]);
+}
