--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod run;
 pub mod settings;
 pub mod shelf;
+pub mod state;
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -5,6 +5,7 @@
 use runloom_daemon::papers::Terms;
 use runloom_daemon::planner::{Trial, BUILD};
 use runloom_daemon::settings::read;
+use runloom_daemon::state;
 use runloom_daemon::{run, wall_ms};
 use runloom_guard::case::Case;
 use runloom_model::fleet::Papers;
@@ -89,6 +90,11 @@
         #[command(subcommand)]
         command: RecordCommand,
     },
+    /// What outlasts a planner, in its folder.
+    State {
+        #[command(subcommand)]
+        command: StateCommand,
+    },
     /// A recorded day again: the same orders, or those under another setting.
     Replay {
         /// The record's folder.
@@ -129,6 +135,18 @@
     },
 }
 
+#[derive(Subcommand)]
+enum StateCommand {
+    /// The files: version, generation, entries, and bytes that cannot be read.
+    Ls { folder: PathBuf },
+    /// The fleet and the edits as they are kept, and what is learned, with how much of it counts now.
+    Show { folder: PathBuf },
+    /// Code 1 if something cannot be read back.
+    Verify { folder: PathBuf },
+    /// Removes all but the newest generations. Not while a planner has the folder.
+    Prune { folder: PathBuf },
+}
+
 #[derive(Subcommand)]
 enum RecordCommand {
     /// The segments.
@@ -205,6 +223,13 @@
         }
         Command::Guard { command: GuardCommand::Explain { log, number } } => explain(&log, number),
         Command::Record { command } => record(&command),
+        Command::State { command: StateCommand::Ls { folder } } => state::ls(&folder),
+        Command::State { command: StateCommand::Show { folder } } => state::show(&folder),
+        Command::State { command: StateCommand::Verify { folder } } => match state::verify(&folder) {
+            Ok(false) => return ExitCode::FAILURE,
+            read => read.map(|_| ()),
+        },
+        Command::State { command: StateCommand::Prune { folder } } => state::prune(&folder),
         Command::Replay { folder, day: Some(file), .. } => inferred(&folder, &file),
         Command::Replay { folder, back, fleet, seed, unguarded, json, page, until, .. } => {
             let until = until.map(|s| Duration::from_secs_f64(s.max(0.0)));
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod issuer;
 pub mod measure;
 pub mod pairs;
+pub mod restart;
 pub mod servers;
 pub mod spoil;
 pub mod staff;
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -54,7 +54,7 @@
         #[arg(long, value_enum, default_value_t)]
         front: day::Fronts,
     },
-    /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, recording, guard, spoilt, pairs, fronts, slow, storm; one figure a line, `name value unit`.
+    /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, recording, guard, spoilt, pairs, fronts, slow, storm, restart, keeping; one figure a line, `name value unit`.
     Measure {
         name: String,
         /// Works in this folder and leaves it; pairs does not play anew what it finds there.
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-pub const NAMES: [&str; 13] = [
+pub const NAMES: [&str; 15] = [
     "edits",
     "overhead",
     "small",
@@ -38,6 +38,8 @@
     "fronts",
     "slow",
     "storm",
+    "restart",
+    "keeping",
 ];
 
 pub(crate) type Told = Result<(), String>;
@@ -59,6 +61,8 @@
         "fronts" => crate::fronts::fronts(),
         "slow" => crate::fronts::slow(folder, own),
         "storm" => crate::fronts::storm(folder, own),
+        "restart" => crate::restart::restart(folder, own),
+        "keeping" => crate::restart::keeping(folder),
         "guard" => guard(),
         "recording" => recording(folder),
         "spoilt" => spoilt(folder, own),
--- /dev/null
+++ b/rig/src/restart.rs
@@ -0,0 +1,190 @@
+//! Measurements of what outlasts a restart: what hints are worth when a planner starts again amid servers that fail,
+//! and what keeping edits costs.
+
+use crate::day::{Day, Fronts, Trouble};
+use crate::measure::{figure, sized, Told};
+use crate::world::{Outcomes, World};
+use runloom_daemon::keeper::{EDITS, LEARNED};
+use runloom_store::accepted::{pieces, Accepted, Noted, Patch};
+use runloom_store::disk::Folder;
+use runloom_store::learned::{Book, Learned};
+use runloom_store::Store;
+use statrs::statistics::Statistics;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// A name, and what is done to the folder.
+type Way = (&'static str, fn(&Path));
+
+const WAYS: [Way; 4] = [("cold", cold), ("fresh", |_| ()), ("six_hours", six_hours), ("wrong", wrong)];
+const SEEDS: [u64; 6] = [21, 22, 23, 24, 25, 26];
+
+fn edit(state: &Path, change: impl FnOnce(Option<Book>) -> Option<Book>) {
+    let Ok(folder) = Folder::open(state) else { return };
+    let Ok((mut store, opened)) = Store::open(folder, LEARNED) else { return };
+    let book = opened.state.and_then(|bytes| Book::read(&bytes).ok());
+    if let Some(book) = change(book) {
+        let _ = store.snapshot(&book.write());
+    }
+}
+
+fn cold(state: &Path) {
+    edit(state, |_| Some(Book::default()));
+}
+
+fn six_hours(state: &Path) {
+    const AGE: u64 = 6 * 3600 * 1000;
+    edit(state, |book| {
+        let mut book = book?;
+        book.written -= AGE;
+        book.servers.iter_mut().for_each(|s| s.failed = s.failed.map(|at| at - AGE));
+        Some(book)
+    });
+}
+
+/// The doubt goes to five others, fresh.
+fn wrong(state: &Path) {
+    let Ok((_, list)) = Folder::open(state)
+        .map_err(|e| e.to_string())
+        .and_then(|folder| Store::open(folder, runloom_daemon::keeper::ROSTER).map_err(|e| e.to_string()))
+    else {
+        return;
+    };
+    let text = list.state.and_then(|t| String::from_utf8(t).ok()).unwrap_or_default();
+    let Ok(roster) = runloom_netconf::tree::Element::parse(&text) else { return };
+    edit(state, |book| {
+        let book = book?;
+        let failed = |name: &str| book.servers.iter().any(|s| s.name == name && s.failed.is_some());
+        let entries = roster.named("server").filter(|e| !failed(e.text_of("name").unwrap_or_default()));
+        let doubted = |e: &std::sync::Arc<runloom_netconf::tree::Element>| Learned {
+            name: e.text_of("name").unwrap_or_default().to_string(),
+            address: e.text_of("address").unwrap_or_default().to_string(),
+            started: e.text_of("started").and_then(|t| t.parse().ok()),
+            swift: 0.5,
+            failed: Some(book.written),
+            held: true,
+        };
+        Some(Book { written: book.written, servers: entries.take(5).map(doubted).collect() })
+    });
+}
+
+fn trouble(at: u64, kind: &str, count: usize, lasts: u64, size: f64) -> Trouble {
+    let seconds = Duration::from_secs;
+    Trouble { at: seconds(at), kind: kind.into(), count, lasts: seconds(lasts), size, servers: vec![] }
+}
+
+/// 24 servers, three of which fail fast and two are slow from the third second on; the planner is killed at 14 s and is
+/// back a second later.
+fn day() -> Day {
+    let mut day = Day { fronts: Fronts::Mixed, ..sized(24, 24, 240.0, 46) };
+    day.edits.clear();
+    day.pick = "chance".into();
+    day.troubles = vec![
+        trouble(3, "errors", 3, 43, 1.0),
+        trouble(4, "slow", 2, 42, 3.0),
+        trouble(14, "planner-kill", 1, 1, 1.0),
+    ];
+    day
+}
+
+fn one(folder: &Path, own: &Path, way: usize, seed: u64) -> Result<(usize, Outcomes), String> {
+    let (name, between) = WAYS[way];
+    let mut world = World::new(day(), seed, &folder.join(format!("{name}-{seed}")), own, &[])?;
+    world.between = Some(between);
+    let outcome = world.play()?;
+    Ok((world.to_bad, outcome))
+}
+
+/// A planner's restart amid three servers that fail and two that are slow: queries that reached these in the half minute
+/// after it, and service over the day, with no hints, fresh ones, ones six hours old, and wrong ones; mean and the
+/// standard error over the seeds.
+pub fn restart(folder: &Path, own: &Path) -> Told {
+    let mut broken = vec![];
+    let mut rows: Vec<Vec<(usize, Outcomes)>> = vec![vec![]; WAYS.len()];
+    for seed in SEEDS {
+        // The four ways of one seed at a time: each takes a small part of a core.
+        let played: Vec<Result<(usize, Outcomes), String>> = std::thread::scope(|scope| {
+            let days: Vec<_> =
+                (0..WAYS.len()).map(|way| scope.spawn(move || one(folder, own, way, seed))).collect();
+            days.into_iter().map(|d| d.join().unwrap_or_else(|_| Err("a day panicked".into()))).collect()
+        });
+        for (way, played) in played.into_iter().enumerate() {
+            let played = played?;
+            broken.extend(played.1.broken.iter().map(|b| format!("{} {seed}: {b}", WAYS[way].0)));
+            rows[way].push(played);
+        }
+    }
+    for ((name, _), row) in WAYS.iter().zip(&rows) {
+        let told = |what: &str, values: Vec<f64>, unit: &str| {
+            let error = values.iter().std_dev() / (values.len() as f64).sqrt();
+            figure(&format!("restart.{name}.{what}"), values.iter().mean(), unit);
+            figure(&format!("restart.{name}.{what}_standard_error"), error, unit);
+        };
+        told("queries_to_bad_servers", row.iter().map(|r| r.0 as f64).collect(), "queries");
+        told("service", row.iter().map(|r| r.1.service).collect(), "of_1");
+        told("further_tries", row.iter().map(|r| r.1.further as f64).collect(), "tries");
+    }
+    if broken.is_empty() {
+        Ok(())
+    } else {
+        Err(broken.join("; "))
+    }
+}
+
+/// Edits kept in a folder of this machine's disk: one a sync, and sixteen a sync; a snapshot of a fleet of 544 words
+/// with a full ledger; and what reading it all back takes.
+pub fn keeping(folder: &Path) -> Told {
+    let told = |e: runloom_store::Failed| e.to_string();
+    let io = |e: std::io::Error| e.to_string();
+    let noted = |k: usize| Noted {
+        id: format!("e{k}"),
+        who: "staff".into(),
+        digest: "d".repeat(64),
+        accepted: k as u64,
+    };
+    let word = |k: usize| {
+        format!("<server xmlns=\"urn:runloom:fleet\"><name>server-{k}</name><weight>0.5</weight></server>")
+    };
+    let all = Accepted {
+        entries: (0..544).map(word).collect(),
+        before: None,
+        noted: (0..1024).map(noted).collect(),
+    };
+    let (mut store, _) =
+        Store::open(Folder::open(&folder.join("keeping")).map_err(io)?, EDITS).map_err(told)?;
+    let start = Instant::now();
+    store.snapshot(&all.write()).map_err(told)?;
+    figure("snapshot_544_words_1024_edits", start.elapsed().as_secs_f64() * 1e3, "ms");
+    figure("snapshot_544_words_1024_edits_size", all.write().len() as f64 / 1024.0, "KiB");
+    for batch in [1usize, 16] {
+        let mut times =
+            hdrhistogram::Histogram::<u64>::new_with_bounds(1, 60_000_000, 3).map_err(|e| e.to_string())?;
+        let (start, mut edits, mut bytes) = (Instant::now(), 0, 0);
+        while start.elapsed() < Duration::from_secs(3) {
+            let entry = |k: usize| {
+                let place = |at: usize| if at == k % 544 { Err(word(at)) } else { Ok(at as u32) };
+                Patch { pieces: Some(pieces((0..544).map(place))), noted: vec![noted(k)], before: None }
+                    .write()
+            };
+            let entries: Vec<Vec<u8>> = (0..batch).map(|k| entry(edits + k)).collect();
+            bytes += entries.iter().map(Vec::len).sum::<usize>();
+            let one = Instant::now();
+            store.append(&entries).map_err(told)?;
+            times.saturating_record(one.elapsed().as_micros() as u64);
+            edits += batch;
+        }
+        let name = format!("edits_{batch}_a_sync");
+        figure(&format!("{name}_per_second"), edits as f64 / start.elapsed().as_secs_f64(), "edits/s");
+        figure(&format!("{name}_p99"), times.value_at_quantile(0.99) as f64 / 1e3, "ms");
+        figure(&format!("{name}_bytes"), bytes as f64 / edits as f64, "bytes");
+    }
+    let start = Instant::now();
+    let (_, opened) = Store::open(Folder::open(&folder.join("keeping")).map_err(io)?, EDITS).map_err(told)?;
+    let accepted = runloom_daemon::keeper::accepted(&opened)?.ok_or("nothing was read back")?;
+    figure("read_back_entries", opened.entries.len() as f64, "edits");
+    figure("read_back", start.elapsed().as_secs_f64() * 1e3, "ms");
+    if accepted.entries.len() != 544 {
+        return Err("not all was read back".into());
+    }
+    Ok(())
+}
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -180,6 +180,11 @@
     back: Option<Duration>,
     since_back: BTreeSet<usize>,
     pub recovered: Option<Duration>,
+    /// Done to a planner's folder before it is started again.
+    pub between: Option<fn(&Path)>,
+    /// Servers that fail or are slow when the planner is back, and queries that reached them within half a minute.
+    bad: BTreeSet<String>,
+    pub to_bad: usize,
 }
 
 enum What {
@@ -260,6 +265,9 @@
             back: None,
             since_back: BTreeSet::new(),
             recovered: None,
+            between: None,
+            bad: BTreeSet::new(),
+            to_bad: 0,
             turn,
             day,
         };
@@ -597,6 +605,11 @@
                 let log = self.folder.join(format!("planner-{planner}.log"));
                 let settings = self.planners[planner].settings.clone();
                 self.seed += 1;
+                if let Some(between) = self.between {
+                    between(&self.folder.join(format!("state-{planner}")));
+                }
+                let bad = self.servers.all.iter().filter(|s| s.health != Health::Well || s.slow > 1.0);
+                self.bad = bad.map(|s| s.name.clone()).collect();
                 let trial: Vec<&str> = self.trial.iter().map(String::as_str).collect();
                 let (child, _) = Process::spawn(&self.own, &settings, self.seed, &log, &trial)?;
                 self.planners[planner].child = Some(child);
@@ -781,6 +794,8 @@
                 };
                 let joined = self.forwarders.get(forwarder).and_then(|h| h.joined);
                 let at = sent.at.saturating_sub(zero);
+                let soon = self.back.is_some_and(|back| at >= back && at < back + Duration::from_secs(30));
+                self.to_bad += usize::from(soon && self.bad.contains(&server.name));
                 self.evidence.arrivals.push(Arrival { at, server: server.name.clone(), forwarder, joined });
             }
         }
--- a/rig/tests/help/mod.rs
+++ b/rig/tests/help/mod.rs
@@ -1,5 +1,7 @@
 //! One planner's process, and members of staff.
 
+#![allow(dead_code)] // Each test program uses a part of it.
+
 use runloom_daemon::client::Client;
 use runloom_daemon::papers::Terms;
 use runloom_model::fleet::Papers;
--- a/store/src/disk.rs
+++ b/store/src/disk.rs
@@ -48,18 +48,20 @@
 pub struct Folder {
     path: PathBuf,
     open: BTreeMap<String, File>,
+    /// Somebody else's: it is read, and nothing in it is moved.
+    read_only: bool,
 }
 
 impl Folder {
     pub fn open(path: &Path) -> io::Result<Folder> {
         fs::create_dir_all(path)?;
-        Ok(Folder { path: path.to_path_buf(), open: BTreeMap::new() })
+        Ok(Folder { path: path.to_path_buf(), open: BTreeMap::new(), read_only: false })
     }
 
-    /// The folder as it is, for readers: none is made.
+    /// The folder as it is, for readers: none is made, and what is broken stays where it is.
     pub fn there(path: &Path) -> io::Result<Folder> {
         fs::read_dir(path)?;
-        Ok(Folder { path: path.to_path_buf(), open: BTreeMap::new() })
+        Ok(Folder { path: path.to_path_buf(), open: BTreeMap::new(), read_only: true })
     }
 
     fn file(&mut self, name: &str) -> io::Result<&mut File> {
@@ -82,6 +84,9 @@
     }
 
     fn create(&mut self, name: &str) -> io::Result<()> {
+        if self.read_only {
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
         // One file is written at a time: those before are finished.
         self.open.clear();
         let file = File::create(self.path.join(name))?;
@@ -114,10 +119,16 @@
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
-        fs::rename(self.path.join(from), self.path.join(to))
+        match self.read_only {
+            true => Ok(()),
+            false => fs::rename(self.path.join(from), self.path.join(to)),
+        }
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
+        if self.read_only {
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
         self.open.remove(name);
         fs::remove_file(self.path.join(name))
     }
