What was learned carries over quick restarts; measurements of edits kept over sockets

Need: a planner that is started again within seconds would forget what its predecessor knew. Change: Book::renewed keeps doubts that still count; measure keeping also drives a planner's process.

--- a/daemon/src/planner.rs
+++ b/daemon/src/planner.rs
@@ -90,8 +90,9 @@
     /// Batches of edits that were given to be kept, and those that are.
     given: u64,
     durable: u64,
-    /// When what was learned is written down next.
+    /// When what was learned is written down next, and what was last.
     learn_at: Duration,
+    book: Book,
     /// Microseconds that keeping a batch took.
     keeping: Histogram<u64>,
     pub(crate) peers: BTreeMap<Conn, Peer>,
@@ -230,6 +231,7 @@
             given: 0,
             durable: 0,
             learn_at: LEARN_EVERY,
+            book: found.learned.unwrap_or_default(),
             keeping: histogram()?,
             peers: BTreeMap::new(),
             joined: BTreeMap::new(),
@@ -572,7 +574,8 @@
             Some(Learned { name, address, started, swift, failed, held })
         });
         let book = Book { written: self.desk.wall, servers: learned.collect() };
-        if !self.keeper.learned(book) {
+        self.book = book.renewed(&self.book);
+        if !self.keeper.learned(self.book.clone()) {
             tracing::warn!("what was learned could not be written: the disk is behind");
         }
     }
--- a/rig/src/fronts.rs
+++ b/rig/src/fronts.rs
@@ -206,6 +206,7 @@
         let outcome = world.play()?;
         let recovered = world.recovered.ok_or("not all were told again")?;
         figure(&format!("592x544.{name}.back_to_all_told"), recovered.as_secs_f64() * 1e3, "ms");
+        figure(&format!("592x544.{name}.planner_start"), world.start_took.as_secs_f64() * 1e3, "ms");
         told_path(&format!("592x544.{name}.storm"), 14.0, &outcome)?;
     }
     Ok(())
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -62,7 +62,7 @@
         "slow" => crate::fronts::slow(folder, own),
         "storm" => crate::fronts::storm(folder, own),
         "restart" => crate::restart::restart(folder, own),
-        "keeping" => crate::restart::keeping(folder),
+        "keeping" => crate::restart::keeping(folder, own),
         "guard" => guard(),
         "recording" => recording(folder),
         "spoilt" => spoilt(folder, own),
--- a/rig/src/restart.rs
+++ b/rig/src/restart.rs
@@ -4,7 +4,11 @@
 use crate::day::{Day, Fronts, Trouble};
 use crate::measure::{figure, sized, Told};
 use crate::world::{Outcomes, World};
+use runloom_daemon::client::Client;
 use runloom_daemon::keeper::{EDITS, LEARNED};
+use runloom_daemon::papers::Terms;
+use runloom_model::FLEET;
+use runloom_netconf::tree::Element;
 use runloom_store::accepted::{pieces, Accepted, Noted, Patch};
 use runloom_store::disk::Folder;
 use runloom_store::learned::{Book, Learned};
@@ -51,12 +55,12 @@
         return;
     };
     let text = list.state.and_then(|t| String::from_utf8(t).ok()).unwrap_or_default();
-    let Ok(roster) = runloom_netconf::tree::Element::parse(&text) else { return };
+    let Ok(roster) = Element::parse(&text) else { return };
     edit(state, |book| {
         let book = book?;
         let failed = |name: &str| book.servers.iter().any(|s| s.name == name && s.failed.is_some());
         let entries = roster.named("server").filter(|e| !failed(e.text_of("name").unwrap_or_default()));
-        let doubted = |e: &std::sync::Arc<runloom_netconf::tree::Element>| Learned {
+        let doubted = |e: &std::sync::Arc<Element>| Learned {
             name: e.text_of("name").unwrap_or_default().to_string(),
             address: e.text_of("address").unwrap_or_default().to_string(),
             started: e.text_of("started").and_then(|t| t.parse().ok()),
@@ -133,7 +137,7 @@
 
 /// Edits kept in a folder of this machine's disk: one a sync, and sixteen a sync; a snapshot of a fleet of 544 words
 /// with a full ledger; and what reading it all back takes.
-pub fn keeping(folder: &Path) -> Told {
+pub fn keeping(folder: &Path, own: &Path) -> Told {
     let told = |e: runloom_store::Failed| e.to_string();
     let io = |e: std::io::Error| e.to_string();
     let noted = |k: usize| Noted {
@@ -178,6 +182,15 @@
         figure(&format!("{name}_p99"), times.value_at_quantile(0.99) as f64 / 1e3, "ms");
         figure(&format!("{name}_bytes"), bytes as f64 / edits as f64, "bytes");
     }
+    // As many as the planner lets come before it writes a snapshot.
+    store.snapshot(&all.write()).map_err(told)?;
+    let mut k = 0;
+    while !store.wants_snapshot() {
+        let place = |at: usize| if at == k % 544 { Err(word(at)) } else { Ok(at as u32) };
+        let patch = Patch { pieces: Some(pieces((0..544).map(place))), noted: vec![noted(k)], before: None };
+        store.append(&[patch.write()]).map_err(told)?;
+        k += 1;
+    }
     let start = Instant::now();
     let (_, opened) = Store::open(Folder::open(&folder.join("keeping")).map_err(io)?, EDITS).map_err(told)?;
     let accepted = runloom_daemon::keeper::accepted(&opened)?.ok_or("nothing was read back")?;
@@ -186,5 +199,48 @@
     if accepted.entries.len() != 544 {
         return Err("not all was read back".into());
     }
+    over_sockets(folder, own)
+}
+
+/// Operators' edits through a planner's process, each answered once it is on disk: one client, and sixteen at once.
+fn over_sockets(folder: &Path, own: &Path) -> Told {
+    let world = World::new(sized(2, 24, 0.0, 1), 1, &folder.join("over"), own, &[])?;
+    let (at, terms) = (world.planners[0].edits, Terms::load(&world.staff).map_err(|e| e.to_string())?);
+    for clients in [1usize, 16] {
+        let span = Duration::from_secs(4);
+        let one = |c: usize| -> Result<Vec<u64>, String> {
+            let mut client = Client::open(at, &terms, Duration::from_secs(20)).map_err(|e| e.to_string())?;
+            let (start, mut times) = (Instant::now(), vec![]);
+            while start.elapsed() < span {
+                let word = Element::new(FLEET, "server").with_leaf("name", format!("s{c}"));
+                let word = word.with_leaf("weight", 0.5 + 0.001 * (times.len() % 100) as f64);
+                let begin = Instant::now();
+                client.edit(Element::new(FLEET, "fleet").with(word), None).map_err(|e| e.to_string())?;
+                times.push(begin.elapsed().as_micros() as u64);
+            }
+            Ok(times)
+        };
+        let all: Vec<Result<Vec<u64>, String>> = std::thread::scope(|scope| {
+            let threads: Vec<_> = (0..clients).map(|c| scope.spawn(move || one(c))).collect();
+            threads
+                .into_iter()
+                .map(|t| t.join().unwrap_or_else(|_| Err("a client panicked".into())))
+                .collect()
+        });
+        let mut times: Vec<u64> = all.into_iter().collect::<Result<Vec<_>, _>>()?.concat();
+        times.sort_unstable();
+        let p99 = times.get(times.len() * 99 / 100).copied().unwrap_or_default();
+        figure(
+            &format!("clients_{clients}.edits_per_second"),
+            times.len() as f64 / span.as_secs_f64(),
+            "edits/s",
+        );
+        figure(&format!("clients_{clients}.edit_p99"), p99 as f64 / 1e3, "ms");
+    }
+    let metrics = crate::world::read_metrics(world.planners[0].metrics).unwrap_or_default();
+    for (name, metric) in [("turn_p99", "runloom_turn_seconds_p99"), ("turn_max", "runloom_turn_seconds_max")]
+    {
+        figure(&format!("edited.{name}"), metrics.get(metric).copied().unwrap_or(f64::NAN) * 1e3, "ms");
+    }
     Ok(())
 }
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -161,7 +161,7 @@
     agenda: Vec<(Duration, What)>,
     evidence: Evidence,
     lines: u64,
-    staff: Papers,
+    pub(crate) staff: Papers,
     feed: Papers,
     threads: Vec<std::thread::JoinHandle<()>>,
     zero: Duration,
@@ -180,6 +180,8 @@
     back: Option<Duration>,
     since_back: BTreeSet<usize>,
     pub recovered: Option<Duration>,
+    /// How long a planner took from its start until it could be reached.
+    pub start_took: Duration,
     /// Done to a planner's folder before it is started again.
     pub between: Option<fn(&Path)>,
     /// Servers that fail or are slow when the planner is back, and queries that reached them within half a minute.
@@ -265,6 +267,7 @@
             back: None,
             since_back: BTreeSet::new(),
             recovered: None,
+            start_took: Duration::ZERO,
             between: None,
             bad: BTreeSet::new(),
             to_bad: 0,
@@ -611,7 +614,9 @@
                 let bad = self.servers.all.iter().filter(|s| s.health != Health::Well || s.slow > 1.0);
                 self.bad = bad.map(|s| s.name.clone()).collect();
                 let trial: Vec<&str> = self.trial.iter().map(String::as_str).collect();
+                let begin = Instant::now();
                 let (child, _) = Process::spawn(&self.own, &settings, self.seed, &log, &trial)?;
+                self.start_took = begin.elapsed();
                 self.planners[planner].child = Some(child);
                 (self.back, self.recovered) = (Some(self.now()), None);
                 self.since_back.clear();
--- a/store/src/learned.rs
+++ b/store/src/learned.rs
@@ -60,6 +60,30 @@
         postcard::from_bytes(bytes).map_err(|e| e.to_string())
     }
 
+    /// What was learned by now, after what an earlier start had learned: a server that it knew to be failing, and that
+    /// this one has seen too little of to say so, is not forgotten. A planner that is started again and again within
+    /// seconds would lose it all.
+    pub fn renewed(self, earlier: &Book) -> Book {
+        let mut servers = self.servers;
+        let now = self.written;
+        for old in &earlier.servers {
+            let counts = old.failed.and_then(|at| now.checked_sub(at)).is_some_and(|since| {
+                let halves = if old.held { DOUBT_HALVES * HELD_TIMES } else { DOUBT_HALVES };
+                left(Duration::from_millis(since), halves) >= DOUBT_LEAST
+            });
+            if !counts {
+                continue;
+            }
+            match servers.iter_mut().find(|s| s.name == old.name) {
+                Some(new) if (&new.address, new.started) != (&old.address, old.started) => {}
+                Some(new) if new.failed >= old.failed => {}
+                Some(new) => (new.failed, new.held) = (old.failed, old.held),
+                None => servers.push(Learned { swift: 1.0, ..old.clone() }),
+            }
+        }
+        Book { written: now, servers }
+    }
+
     /// What still counts at `now` of a server that is listed so; none: nothing.
     pub fn hint(&self, now: u64, name: &str, address: &str, started: Option<u64>) -> Option<Hint> {
         let known = self.servers.iter().find(|s| s.name == name)?;
--- a/store/src/tests.rs
+++ b/store/src/tests.rs
@@ -368,5 +368,13 @@
         assert_eq!(book.hint(now, name, "10.0.0.2:80", Some(7)), None, "another machine");
         assert_eq!(book.hint(now, name, "10.0.0.1:80", Some(8)), None, "another start");
     }
+    // Started again before it has seen anything: what failed is not forgotten, until it counts no more.
+    let again = Book { written: now + 4_000, servers: vec![] }.renewed(&book);
+    assert!(again.hint(now + 4_000, "bad", "10.0.0.1:80", Some(7)).unwrap().doubt > 0.9);
+    assert_eq!(again.servers.len(), 2, "swiftness alone is the newer start's to tell");
+    let seen = vec![server("bad", 0.8, Some(now + 3_000), true)];
+    let again = Book { written: now + 4_000, servers: seen.clone() }.renewed(&book);
+    assert_eq!(again.servers[0], seen[0], "the newer word counts");
+    assert_eq!(Book { written: now + HOUR, servers: vec![] }.renewed(&book).servers, []);
     assert!(hint(now, "new").is_none() && Book::read(b"\xff\xff").is_err());
 }
