--- a/daemon/src/client.rs
+++ b/daemon/src/client.rs
@@ -29,6 +29,7 @@
     session: Session,
     patience: Duration,
     notices: VecDeque<Element>,
+    terms: Terms,
 }
 
 impl Client {
@@ -38,7 +39,8 @@
         let security = Security::Starts(terms.starts.clone(), server_name(PLANNER));
         let conn = turn.dial(to, &security, Bounds::default())?;
         let session = Session::new(Role::Client, &[], SessionBounds::default());
-        let mut client = Client { turn, conn, session, patience, notices: VecDeque::new() };
+        let (notices, terms) = (VecDeque::new(), terms.clone());
+        let mut client = Client { turn, conn, session, patience, notices, terms };
         client.flush();
         client.until(|heard| matches!(heard, Heard::Open { .. }).then(|| Element::new("", "open")))?;
         Ok(client)
@@ -58,6 +60,14 @@
             }
             for h in self.turn.wait(Some(end))? {
                 match h {
+                    Happened::Open { certificate, .. } => {
+                        // Edits go to a planner and to nobody else, whoever has a certificate of the same authority.
+                        let who = self.terms.holder(&certificate.unwrap_or_default());
+                        if !who.is_ok_and(|who| who.planner) {
+                            self.turn.cut(self.conn);
+                            return Err(Failed::Ended("who answered is not that planner".into()));
+                        }
+                    }
                     Happened::Bytes { bytes, .. } => {
                         for heard in self.session.take(&bytes).map_err(|b| Failed::Ended(b.to_string()))? {
                             if let Heard::Notified(event) = &heard {
--- a/daemon/src/desk.rs
+++ b/daemon/src/desk.rs
@@ -3,6 +3,8 @@
 
 use crate::papers::Holder;
 use runloom_guard::edit as guard;
+use runloom_identity::access::{decide, Action, Audit, Entry, Rule};
+use runloom_identity::id::Id;
 use runloom_model::fleet::{misfit, Fleet, Listed, Misfit};
 use runloom_model::schema::{derive, Judge};
 use runloom_model::{Schema, FLEET, FLEET_XSD, YANG};
@@ -42,6 +44,12 @@
     /// Why nothing can be accepted at the moment, if so.
     pub refuses: Option<String>,
     proxies: BTreeMap<String, bool>,
+    /// Who may do what, by identities; none: by the kind of certificate alone.
+    pub rules: Vec<Rule>,
+    ids: BTreeMap<String, Id>,
+    /// What was refused for want of a rule; and what of that is to be told.
+    pub audit: Audit,
+    pub audited: Vec<Entry>,
 }
 
 /// The edit's schema: `<fleet>` and `<roster>`.
@@ -107,6 +115,10 @@
             wall: 0,
             refuses: None,
             proxies: BTreeMap::new(),
+            rules: vec![],
+            ids: BTreeMap::new(),
+            audit: Audit::default(),
+            audited: vec![],
         };
         let told = |e: Vec<RpcError>| e.first().map_or_else(String::new, |e| e.message.clone());
         let change = desk.roster_change(&desk.data.clone()).map_err(told)?;
@@ -134,6 +146,30 @@
     /// A client's session began: who may edit is known by its certificate.
     pub fn met(&mut self, holder: &Holder) {
         self.proxies.insert(holder.name.clone(), holder.proxy);
+        if let Some((id, _)) = &holder.id {
+            self.ids.insert(holder.name.clone(), id.clone());
+        }
+    }
+
+    /// Notes what an identity wished and may not.
+    pub fn refused(&mut self, id: &Id, action: Action) {
+        if let Err(why) = decide(&self.rules, id, action) {
+            self.audited.extend(self.audit.note(self.now, id, action, why));
+        }
+    }
+
+    /// Whether one may do something by the rules; where there are none, by what else is asked of it.
+    fn allowed(&mut self, who: &str, actions: &[Action]) -> Result<(), RpcError> {
+        if self.rules.is_empty() {
+            return Ok(());
+        }
+        let denied = || RpcError::protocol(Tag::AccessDenied, format!("{who} may not do this here"));
+        let id = self.ids.get(who).cloned().ok_or_else(denied)?;
+        if actions.iter().any(|action| decide(&self.rules, &id, *action).is_ok()) {
+            return Ok(());
+        }
+        actions.first().into_iter().for_each(|action| self.refused(&id, *action));
+        Err(denied())
     }
 
     /// The roster as an element, for the file that a restart reads.
@@ -370,6 +406,11 @@
     }
 
     fn commit(&mut self, change: &Change) -> Result<(), Vec<RpcError>> {
+        for part in ["fleet", "roster"] {
+            if !same(change.wanted, &self.data, part) {
+                self.allowed(change.who, &[Action::Write { part }]).map_err(|e| vec![e])?;
+            }
+        }
         let (fleet, roster) = self.judged(change.wanted)?;
         let touched = fleet.is_some();
         // The feed's list needs no disk: a planner restarts from the last one that it wrote, and asks again.
@@ -413,6 +454,13 @@
     }
 
     fn may(&mut self, who: &str, access: Access) -> Result<(), RpcError> {
+        let parts = ["fleet", "roster", "state"];
+        match access {
+            Access::Read => self.allowed(who, &parts.map(|part| Action::Read { part }))?,
+            // Which part it is shows with the change itself.
+            Access::Edit => self.allowed(who, &parts.map(|part| Action::Write { part }))?,
+            Access::Kill => self.allowed(who, &[Action::Kill])?,
+        }
         // A proxy orders nothing; it is the planner that asks it.
         if access != Access::Read && self.proxies.get(who).copied().unwrap_or(true) {
             return Err(RpcError::protocol(Tag::AccessDenied, format!("{who} may not edit here")));
--- a/daemon/src/forwarder.rs
+++ b/daemon/src/forwarder.rs
@@ -1,8 +1,8 @@
 //! The forwarder's shell: queries in and out by HTTP/1.1, tables by NETCONF from a planner that it dials.
 
 use crate::http::{write_answer, write_query, Bad, Message, Reader};
-use crate::papers::{holder, server_name, Terms, Unusable, PLANNER};
-use crate::{earliest, wall_text};
+use crate::papers::{server_name, Holder, Terms, Unusable, PLANNER};
+use crate::{earliest, wall_ms, wall_text};
 use nanorand::{Rng, WyRand};
 use runloom_forward::published;
 use runloom_forward::query::{Ended, Refusal, Step};
@@ -33,6 +33,8 @@
 const POOL_MOST: usize = 8;
 /// A connection to a server stands within this time, or is refused.
 const CONNECT: Duration = Duration::from_millis(250);
+/// How often certificates and the planner's identity are looked at; before each order besides.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
 /// Bytes of a client's further queries that wait while one is out: the client's own bound, not ours.
 const AHEAD_MOST: usize = 64 << 10;
 
@@ -120,6 +122,9 @@
     conn: Conn,
     planner: SocketAddr,
     way: Way,
+    /// Who the planner is, and its certificate.
+    holder: Holder,
+    certificate: Vec<u8>,
 }
 
 impl Stream {
@@ -144,6 +149,8 @@
     store: Store,
     service: Service,
     security: Security,
+    terms: Terms,
+    looked: Duration,
     chance: WyRand,
     stream: Option<Stream>,
     /// What was published to it, and by which planner.
@@ -193,10 +200,12 @@
             service: Service::new(schema, Limits::default()),
             security: match stand.front {
                 // RFC 8071: it dials, and is the server all the same.
-                Told::Edits => Security::Answers(terms.answers),
-                Told::Weights | Told::Subsets => Security::Starts(terms.starts, server_name(PLANNER)),
+                Told::Edits => Security::Answers(terms.answers.clone()),
+                Told::Weights | Told::Subsets => Security::Starts(terms.starts.clone(), server_name(PLANNER)),
             },
             stand,
+            terms,
+            looked: now,
             chance: WyRand::new_seed(seed ^ 0x5151),
             stream: None,
             published: Default::default(),
@@ -291,7 +300,7 @@
             Some(Way::Publishes(client)) => client.wakes_at(),
             _ => None,
         };
-        earliest([dial, limit, connecting, stream, Some(self.report_at)])
+        earliest([dial, limit, connecting, stream, Some(self.report_at), Some(self.looked + LOOK_EVERY)])
     }
 
     pub fn happened(&mut self, turn: &mut Turn, happened: Happened) {
@@ -309,10 +318,11 @@
             self.made.push(conn);
         } else if self.dialling == Some(conn) {
             self.dialling = None;
-            let who = certificate.as_deref().and_then(holder);
-            let Some(who) = who.filter(|w| w.planner) else {
-                // Orders are taken from planners only.
-                tracing::warn!(forwarder = %self.stand.name, "who answered is no planner");
+            let certificate = certificate.unwrap_or_default();
+            let who = self.terms.holder(&certificate);
+            let Some(who) = who.ok().filter(|w| w.planner) else {
+                // Orders are taken from its own planners only.
+                tracing::warn!(forwarder = %self.stand.name, "who answered is no planner of this forwarder's");
                 turn.cut(conn);
                 return self.redial(turn.now());
             };
@@ -322,7 +332,7 @@
             };
             let planner = self.stand.planners[self.next_planner % self.stand.planners.len()];
             self.unheard.clear();
-            self.stream = Some(Stream { conn, planner, way });
+            self.stream = Some(Stream { conn, planner, way, holder: who, certificate });
             // What was met while nobody listened is old by now.
             self.proxy.report(Duration::ZERO);
             self.reported = turn.now();
@@ -614,7 +624,35 @@
         }
     }
 
+    /// Ends a stream whose planner's identity has ended, or is vouched for no more: nothing of it is taken from then on,
+    /// and tables stay in force.
+    fn ended_identity(&mut self, turn: &mut Turn, renewed: bool) -> bool {
+        let now = (wall_ms() / 1000) as i64;
+        let Some(stream) = &self.stream else { return false };
+        let over = stream.holder.has_ended(now) || (renewed && !self.terms.vouches(&stream.certificate));
+        if over {
+            tracing::warn!(forwarder = %self.stand.name, "the planner's identity has ended, or is trusted no more");
+            self.break_stream(turn);
+        }
+        over
+    }
+
+    /// Certificates that changed are read again.
+    fn identities(&mut self, turn: &mut Turn) {
+        let renewed = match self.terms.renew() {
+            Ok(renewed) => renewed,
+            Err(why) => {
+                tracing::error!(forwarder = %self.stand.name, %why, "new certificates cannot be used");
+                false
+            }
+        };
+        self.ended_identity(turn, renewed);
+    }
+
     fn read_stream(&mut self, turn: &mut Turn, bytes: &[u8]) {
+        if self.ended_identity(turn, false) {
+            return;
+        }
         let Some(stream) = self.stream.as_mut() else { return };
         let mut heard = match &mut stream.way {
             Way::Edits { session, .. } => session.take(bytes),
@@ -733,6 +771,10 @@
             turn.cut(conn);
             self.closed(turn, conn, Why::Slow);
         }
+        if now >= self.looked + LOOK_EVERY {
+            self.looked = now;
+            self.identities(turn);
+        }
         if now >= self.report_at {
             self.report(turn, now);
         }
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -8,6 +8,8 @@
 use runloom_daemon::state;
 use runloom_daemon::{run, wall_ms};
 use runloom_guard::case::Case;
+use runloom_identity::access::{May, Rule, Whom};
+use runloom_identity::id::Id;
 use runloom_model::fleet::Papers;
 use runloom_model::{FLEET, STATE};
 use runloom_netconf::tree::Element;
@@ -191,6 +193,9 @@
     key: PathBuf,
     #[arg(long)]
     trust: PathBuf,
+    /// The planner's SPIFFE identity; without it certificates name their holders by DNS names.
+    #[arg(long)]
+    planner_id: Option<String>,
     /// Seconds to wait for an answer.
     #[arg(long, default_value_t = 10)]
     patience: u64,
@@ -199,7 +204,10 @@
 impl To {
     fn open(&self) -> Result<Client, String> {
         let (certificate, key, trust) = (self.certificate.clone(), self.key.clone(), self.trust.clone());
-        let terms = Terms::load(&Papers { certificate, key, trust }).map_err(|e| e.to_string())?;
+        let rule = |id: &String| Id::read(id).map(|id| Rule { whom: Whom::One(id), may: May::Order });
+        let rules = self.planner_id.iter().map(rule).collect::<Result<_, _>>().map_err(|e| e.to_string())?;
+        let papers = Papers { certificate, key, trust, rules, federated: vec![] };
+        let terms = Terms::load(&papers).map_err(|e| e.to_string())?;
         let patience = Duration::from_secs(self.patience);
         Client::open(self.planner, &terms, patience).map_err(|e| e.to_string())
     }
--- a/daemon/src/planner.rs
+++ b/daemon/src/planner.rs
@@ -3,7 +3,7 @@
 use crate::desk::{schema, Desk};
 use crate::http::{write_answer, Reader};
 use crate::keeper::{Done, Found, Keeper};
-use crate::papers::{holder, server_name, Holder, Terms, PROXY};
+use crate::papers::{server_name, Holder, Terms, PROXY};
 use crate::proxies::{Bodies, Home, Joined, Stream};
 use crate::shelf::Shelf;
 use crate::{earliest, wall_ms, wall_text};
@@ -13,6 +13,7 @@
 use runloom_driver::{Deed, Driver, Spoil, LEAD};
 use runloom_front::{Front, Way};
 use runloom_guard::refusal::Refusal;
+use runloom_identity::access::Action;
 use runloom_model::fleet::{Fleet, Place};
 use runloom_model::{FLEET, STATE, YANG};
 use runloom_netconf::service::{Limits, Service, CAPABILITIES};
@@ -41,6 +42,8 @@
 const REFUSED_SHOWN: usize = 20;
 /// What was learned is written so often: a restart knows it that much late.
 const LEARN_EVERY: Duration = Duration::from_secs(5);
+/// The end of one's own identity is told of so often.
+const WARN_EVERY: Duration = Duration::from_secs(60);
 /// Staff's sessions that say nothing for so long are closed.
 const STAFF_IDLE: Duration = Duration::from_secs(3600);
 
@@ -104,6 +107,11 @@
     /// Reports that could not be read.
     pub(crate) unread_reports: u64,
     listeners: Listeners,
+    terms: Terms,
+    /// Streams by identities: when each ends, and the certificate.
+    pub(crate) ends: BTreeMap<Conn, (Holder, Vec<u8>)>,
+    /// When one's own identity's end was last told of.
+    warned: Option<Duration>,
     security: Security,
     seed: u64,
     list_saved: Option<Duration>,
@@ -183,7 +191,8 @@
             desk = Some(first);
             Ok(accepted)
         })?;
-        let desk = desk.ok_or_else(|| Failed::Data("nothing to start from".into()))?;
+        let mut desk = desk.ok_or_else(|| Failed::Data("nothing to start from".into()))?;
+        desk.rules.clone_from(&place.papers.rules);
         shelf.set_aside("accepted.xml")?;
         shelf.set_aside("roster.xml")?;
         let staff = Bounds { idle: Some(STAFF_IDLE), connections: 64, ..Bounds::default() };
@@ -239,6 +248,9 @@
             swept: Duration::ZERO,
             unread_reports: 0,
             listeners: Listeners { edits, home, pubsub: pubsub.map(|p| p.0), metrics: metrics.map(|m| m.0) },
+            terms,
+            ends: BTreeMap::new(),
+            warned: None,
             security,
             seed,
             list_saved: None,
@@ -314,7 +326,18 @@
     }
 
     fn opened(&mut self, turn: &mut Turn, conn: Conn, listener: Option<Conn>, certificate: Option<Vec<u8>>) {
-        let who = certificate.as_deref().and_then(holder);
+        let who = certificate.as_deref().map(|c| self.terms.holder(c));
+        let who = match who {
+            Some(Err(why)) => {
+                tracing::warn!(why, "turned away: the certificate names nobody");
+                return turn.cut(conn);
+            }
+            Some(Ok(who)) => Some(who),
+            None => None,
+        };
+        if let (Some(who), Some(certificate)) = (who.as_ref().filter(|w| w.id.is_some()), &certificate) {
+            self.ends.insert(conn, (who.clone(), certificate.clone()));
+        }
         match (listener, who) {
             (Some(l), _) if Some(l) == self.listeners.metrics => {
                 self.peers.insert(conn, Peer::Reader(Reader::queries()));
@@ -333,7 +356,11 @@
                 turn.write(conn, b"GET /health HTTP/1.1\r\nhost: server\r\nconnection: close\r\n\r\n");
             }
             (_, who) => {
+                if let Some((id, _)) = who.as_ref().and_then(|w| w.id.as_ref()) {
+                    self.desk.refused(id, Action::Join { name: id.name().unwrap_or_default() });
+                }
                 tracing::warn!(?who, "turned away: the certificate names nobody who has business here");
+                self.ends.remove(&conn);
                 turn.cut(conn);
             }
         }
@@ -434,6 +461,7 @@
     }
 
     pub(crate) fn closed(&mut self, turn: &mut Turn, conn: Conn, why: Why) {
+        self.ends.remove(&conn);
         match self.peers.remove(&conn) {
             Some(Peer::Staff(staff)) => {
                 tracing::info!(session = staff.id, ?why, "session closed");
@@ -492,6 +520,47 @@
         self.reply(turn);
         self.keep_list(now);
         self.recorded(turn.now(), now);
+        for e in std::mem::take(&mut self.desk.audited) {
+            tracing::warn!(who = %e.who, wish = %e.wish, reason = e.reason, more = e.more, "not allowed");
+        }
+    }
+
+    /// Certificates that changed are read again; streams whose identity has ended, or whose authority was struck, end.
+    pub(crate) fn identities(&mut self, turn: &mut Turn, now: Duration) {
+        let renewed = match self.terms.renew() {
+            Ok(renewed) => renewed,
+            Err(why) => {
+                tracing::error!(%why, "new certificates cannot be used: the ones before stay in force");
+                false
+            }
+        };
+        let wall = (wall_ms() / 1000) as i64;
+        if renewed {
+            tracing::info!("new certificates are in force, for connections from now on");
+        }
+        if let Some(own) = self.terms.own() {
+            // By now a new one should have come: operators are told while there is time.
+            let late = own.until - wall < (own.until - own.from) / 3;
+            if late && self.warned.is_none_or(|at| now >= at + WARN_EVERY) {
+                self.warned = Some(now);
+                tracing::warn!(identity = %own.id, seconds = own.until - wall, "this planner's identity ends soon");
+            }
+        }
+        let over = |(conn, (holder, der)): (&Conn, &(Holder, Vec<u8>))| {
+            let over = holder.has_ended(wall) || (renewed && !self.terms.vouches(der));
+            over.then(|| (*conn, holder.name.clone()))
+        };
+        let over: Vec<(Conn, String)> = self.ends.iter().filter_map(over).collect();
+        for (conn, who) in over {
+            tracing::warn!(who, "its identity has ended, or its authority was struck: the stream ends");
+            self.cut_off(turn, conn);
+        }
+    }
+
+    /// Ends a stream at once: nothing that is on its way counts.
+    pub(crate) fn cut_off(&mut self, turn: &mut Turn, conn: Conn) {
+        turn.cut(conn);
+        self.closed(turn, conn, Why::Untrusted);
     }
 
     /// Writes down what the driver was told and ordered in this turn.
@@ -873,6 +942,10 @@
             gauge("runloom_proxies_published_to", published as f64);
             gauge("runloom_proxies_to_be_let_in", self.front.waiting() as f64);
             gauge("runloom_messages_flying", self.front.publisher().waiting() as f64);
+            if let Some(own) = self.terms.own() {
+                gauge("runloom_identity_ends_seconds", (own.until - (wall_ms() / 1000) as i64) as f64);
+            }
+            metrics::counter!("runloom_not_allowed_total").absolute(self.desk.audit.refused);
             metrics::counter!("runloom_proxies_doubted_total").absolute(self.front.doubted);
             metrics::counter!("runloom_reports_unread_total").absolute(self.unread_reports);
             gauge("runloom_lines_waiting", self.driver.lines_waiting() as f64);
--- a/daemon/src/proxies.rs
+++ b/daemon/src/proxies.rs
@@ -3,6 +3,7 @@
 
 use crate::papers::Holder;
 use crate::planner::{Peer, Planner};
+use crate::wall_ms;
 use runloom_front::doubt::Verdict;
 use runloom_front::{Newcomer, Out, Way};
 use runloom_model::order::Report;
@@ -330,6 +331,7 @@
             return;
         }
         self.swept = now;
+        self.identities(turn, now);
         let silent = |(conn, peer): (&Conn, &mut Peer)| {
             let Peer::Stream(stream) = peer else { return None };
             stream.session.wake(now);
@@ -357,8 +359,14 @@
         if self.bodies.len() > BODIES_MOST {
             self.bodies.clear();
         }
+        let wall = (wall_ms() / 1000) as i64;
         for proxy in self.front.take_ready() {
             let Some(conn) = self.joined.get(&proxy).map(|j| j.conn) else { continue };
+            // No order passes on an identity that has ended, however short ago.
+            if self.ends.get(&conn).is_some_and(|(holder, _)| holder.has_ended(wall)) {
+                self.cut_off(turn, conn);
+                continue;
+            }
             while self.has_room(conn) {
                 match self.front.next(now, proxy) {
                     Some(Out::Message { number, text, .. }) => self.tell_home(now, conn, number, &text),
--- a/identity/src/svid.rs
+++ b/identity/src/svid.rs
@@ -68,7 +68,8 @@
     }
     // 4.4: with extended usages, both ends of TLS.
     if let Some(usage) = parsed.extended_key_usage().map_err(malformed)? {
-        if !usage.value.any && !(usage.value.server_auth && usage.value.client_auth) {
+        let both = usage.value.server_auth && usage.value.client_auth;
+        if !both && !usage.value.any {
             return Err(NotASvid::Usage);
         }
     }
--- a/identity/src/tests.rs
+++ b/identity/src/tests.rs
@@ -134,7 +134,8 @@
     assert!(read(&["spiffe://a/x"], |p| p.key_usages.clear()).is_ok());
     assert!(read(&["spiffe://a/x"], |p| p.extended_key_usages.clear()).is_ok());
     let ca: fn(&mut CertificateParams) = |p| p.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    let cases: [(&[&str], fn(&mut CertificateParams), NotASvid); 10] = [
+    type Case = (&'static [&'static str], fn(&mut CertificateParams), NotASvid);
+    let cases: [Case; 10] = [
         (&[], |_| {}, NotASvid::Uris(0)),
         (&["spiffe://a/x", "spiffe://a/y"], |_| {}, NotASvid::Uris(2)),
         (&["spiffe://a/x", "https://a/x"], |_| {}, NotASvid::Uris(2)),
@@ -184,7 +185,7 @@
     let mut trust = Trust::default();
     assert_eq!(trust.take(own.clone(), bundle.clone()), Ok(true));
     assert_eq!(trust.take(own.clone(), bundle), Ok(false));
-    let struck = Bundle::read(document(&[new.clone()], 8).as_bytes()).unwrap();
+    let struck = Bundle::read(document(std::slice::from_ref(&new), 8).as_bytes()).unwrap();
     assert_eq!(trust.take(own.clone(), struck), Ok(true));
     let late = Bundle::read(document(&[old], 7).as_bytes()).unwrap();
     assert_eq!(trust.take(own.clone(), late), Err(NotABundle::Older(7, 8)));
--- a/model/src/fleet.rs
+++ b/model/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::FLEET;
 use runloom::interface::{Fact, Facts};
+use runloom_identity::access::{May, Rule, Whom};
 use runloom_netconf::tree::Element;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -311,17 +312,53 @@
 }
 
 /// Files of certificates.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Papers {
     pub certificate: PathBuf,
     pub key: PathBuf,
     pub trust: PathBuf,
+    /// Other trust domains, and where their bundles are.
+    pub federated: Vec<(String, PathBuf)>,
+    /// Who may do what, by SPIFFE identities; none: by DNS names.
+    pub rules: Vec<Rule>,
 }
 
 impl Papers {
-    pub fn read(parent: &Element) -> Papers {
-        let of = |name| PathBuf::from(parent.child("tls").and_then(|t| t.text_of(name)).unwrap_or_default());
-        Papers { certificate: of("certificate"), key: of("key"), trust: of("trust") }
+    /// Reads `<tls>`, which the schema has found valid.
+    pub fn read(parent: &Element) -> Result<Papers, Misfit> {
+        let empty = Element::default();
+        let tls = parent.child("tls").unwrap_or(&empty);
+        let of = |name| PathBuf::from(tls.text_of(name).unwrap_or_default());
+        let mut rules = Vec::new();
+        for may in tls.named("may") {
+            let whom = may.text_of("whom").unwrap_or_default();
+            let misfit = |e: runloom_identity::id::NotAnId| Misfit {
+                path: format!("/tls/may[whom='{whom}']/whom"),
+                reason: e.to_string(),
+            };
+            let whom = Whom::read(whom).map_err(misfit)?;
+            let parts = |name| may.named(name).map(|e| e.text.clone()).collect::<Vec<String>>();
+            let all = [
+                may.child("order").map(|_| May::Order),
+                may.child("join").map(|_| May::Join),
+                may.child("kill").map(|_| May::Kill),
+                may.child("read").map(|_| May::Read(parts("read"))),
+                may.child("write").map(|_| May::Write(parts("write"))),
+            ];
+            rules.extend(all.into_iter().flatten().map(|may| Rule { whom: whom.clone(), may }));
+        }
+        let bundle = |e: &std::sync::Arc<Element>| {
+            let text = |name| e.text_of(name).unwrap_or_default();
+            (text("domain").to_string(), PathBuf::from(text("bundle")))
+        };
+        let federated = tls.named("federated").map(bundle).collect();
+        let (certificate, key, trust) = (of("certificate"), of("key"), of("trust"));
+        Ok(Papers { certificate, key, trust, federated, rules })
+    }
+
+    /// Certificates name their holders by SPIFFE identities, and by nothing else.
+    pub fn by_identity(&self) -> bool {
+        !self.rules.is_empty()
     }
 }
 
@@ -369,7 +406,7 @@
                 .child("record")
                 .and_then(|e| e.text_of("megabytes")?.parse::<u64>().ok())
                 .map_or(2 << 30, |mb| mb << 20),
-            papers: Papers::read(planner),
+            papers: Papers::read(planner)?,
             data: Arc::new(Element::new("", "data").with(fleet.clone()).with(roster.clone())),
         })
     }
--- a/model/src/forwarder.rs
+++ b/model/src/forwarder.rs
@@ -64,7 +64,7 @@
             listen: address(&text("listen"), "listen")?,
             front: Told::named(e.text_of("front")),
             planners,
-            papers: Papers::read(e),
+            papers: Papers::read(e)?,
             pick: text("pick"),
             shun_after: text("shun-after").parse().map_err(|_| misfit("shun-after"))?,
             shun_for: span("shun-ms")?,
