--- a/rig/src/day.rs
+++ b/rig/src/day.rs
@@ -60,6 +60,8 @@
     /// The planners' `<fleet>`, if another than the day's own.
     pub fleet: Option<String>,
     pub fronts: Fronts,
+    /// Planners and proxies have SPIFFE identities that live so long, and get new ones at half of it.
+    pub lives: Option<Duration>,
     /// Whether planners record.
     pub recorded: bool,
     pub troubles: Vec<Trouble>,
@@ -135,6 +137,7 @@
         lines_per_second: number(e, "lines-per-second", 20_000.0) as u64,
         fleet: None,
         fronts: Fronts::default(),
+        lives: None,
         recorded: true,
         troubles: e.named("trouble").map(|t| trouble(t)).collect(),
         edits: e.named("edit").map(|t| edit(t)).collect(),
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -6,6 +6,7 @@
 use runloom_rig::world::{Outcomes, World};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 #[derive(Parser)]
 #[command(
@@ -53,6 +54,9 @@
         /// How forwarders are told their tables.
         #[arg(long, value_enum, default_value_t)]
         front: day::Fronts,
+        /// Planners and forwarders have SPIFFE identities that live so many seconds, and get new ones at half of it.
+        #[arg(long)]
+        lives: Option<u64>,
     },
     /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, recording, guard, spoilt, pairs, fronts, slow, storm, restart, keeping; one figure a line, `name value unit`.
     Measure {
@@ -98,10 +102,14 @@
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
     let outcome = match line.command {
         Command::Demo => read("demo", None).and_then(|day| play("demo", day, 1, Report::Text, None, &[])),
-        Command::Day { file, seed, report, keep, spoil, unguarded, fleet, front } => {
+        Command::Day { file, seed, report, keep, spoil, unguarded, fleet, front, lives } => {
             let mut trial: Vec<String> = spoil.map(|way| format!("--spoil={way}")).into_iter().collect();
             trial.extend(unguarded.then(|| "--unguarded".to_string()));
-            let day = read(&file, fleet).map(|day| day::Day { fronts: front, ..day });
+            let day = read(&file, fleet).map(|day| day::Day {
+                fronts: front,
+                lives: lives.map(Duration::from_secs),
+                ..day
+            });
             day.and_then(|day| play(&file, day, seed, report, keep, &trial))
         }
         Command::Measure { name, keep, seed } => measured(&name, keep, seed),
--- a/rig/src/measure.rs
+++ b/rig/src/measure.rs
@@ -87,6 +87,7 @@
     Day {
         fleet: None,
         fronts: Fronts::default(),
+        lives: None,
         recorded: true,
         lasts: Duration::from_secs(seconds),
         servers,
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -15,6 +15,7 @@
 use runloom_daemon::planner::Reachable;
 use runloom_daemon::wall_ms;
 use runloom_forward::Counts;
+use runloom_identity::access::{May, Rule, Whom};
 use runloom_model::fleet::{Class, Listed, Papers, Repeats};
 use runloom_model::forwarder::{Stand, Told};
 use runloom_publish::{Kind, Topic, Version};
@@ -164,6 +165,8 @@
     pub(crate) staff: Papers,
     feed: Papers,
     threads: Vec<std::thread::JoinHandle<()>>,
+    issuer: Option<Issuer>,
+    renewed: Duration,
     zero: Duration,
     settled: Duration,
     /// Queries a second that forwarders meet without sockets, for planners at sizes that one machine's
@@ -212,6 +215,27 @@
     2 * day.lines_per_second
 }
 
+/// Identities in the rig's own trust domain.
+fn identity(name: &str) -> String {
+    let kind = match name {
+        "staff" | "feed" => "tool",
+        name if name.starts_with("planner") => "planner",
+        _ => "proxy",
+    };
+    format!("spiffe://rig.example/{kind}/{name}")
+}
+
+const RULES: &str = "<may><whom>spiffe://rig.example/proxy/*</whom><join/></may>\
+    <may><whom>spiffe://rig.example/tool/staff</whom><write>fleet</write><write>state</write></may>\
+    <may><whom>spiffe://rig.example/tool/feed</whom><write>roster</write></may>";
+
+/// Papers that take the day's planners for theirs.
+fn trusting(papers: Papers, day: &Day) -> Papers {
+    let whom = |k: usize| Whom::read(&identity(&format!("planner-{k}"))).ok();
+    let rules = (0..day.planners).filter_map(whom).map(|whom| Rule { whom, may: May::Order }).collect();
+    Papers { rules, ..papers }
+}
+
 fn class_xml(c: &(&str, f64, u64, u64, &str, f64)) -> String {
     format!(
         "<class><name>{}</name><payoff>{}</payoff><soft-limit-ms>{}</soft-limit-ms><outer-limit-ms>{}</outer-limit-ms>\
@@ -233,7 +257,13 @@
         for k in 0..day.servers {
             servers.add(&mut turn, &format!("z{}", k % day.zones), false).map_err(told)?;
         }
-        let (staff, feed) = (issuer.issue("staff", None)?, issuer.issue("feed", None)?);
+        let (staff, feed) = match day.lives {
+            None => (issuer.issue("staff", None)?, issuer.issue("feed", None)?),
+            Some(_) => {
+                let of = |name: &str| issuer.identity(name, &identity(name), 3600, |_| {});
+                (trusting(of("staff")?, &day), trusting(of("feed")?, &day))
+            }
+        };
         let mut world = World {
             chance: StdRng::seed_from_u64(seed),
             seed,
@@ -258,6 +288,8 @@
             staff,
             feed,
             threads: vec![],
+            issuer: None,
+            renewed: turn.now(),
             zero: turn.now(),
             settled: Duration::ZERO,
             scripted: None,
@@ -279,6 +311,7 @@
             world.start_planner(&issuer, planner)?;
         }
         world.start_forwarders(&issuer)?;
+        world.issuer = Some(issuer);
         let (now, list) = (Duration::ZERO, world.list());
         world.shared.lists.lock().unwrap_or_else(|e| e.into_inner()).push((now, list));
         for (k, planner) in world.planners.iter().enumerate() {
@@ -293,8 +326,30 @@
         Ok(world)
     }
 
+    /// Papers of a planner or a forwarder.
+    fn papers(&self, issuer: &Issuer, name: &str, role: &'static str) -> Result<Papers, String> {
+        let Some(lives) = self.day.lives else { return issuer.issue(name, Some(role)) };
+        let papers = issuer.identity(name, &identity(name), lives.as_secs() as i64, |_| {})?;
+        Ok(trusting(papers, &self.day))
+    }
+
+    /// New identities for all, when half of the old ones' time has passed.
+    fn renew(&mut self) -> Result<(), String> {
+        let (Some(lives), Some(issuer)) = (self.day.lives, &self.issuer) else { return Ok(()) };
+        if self.turn.now() < self.renewed + lives / 2 {
+            return Ok(());
+        }
+        self.renewed = self.turn.now();
+        let planners = (0..self.day.planners).map(|k| format!("planner-{k}"));
+        let forwarders = (0..self.day.forwarders).map(|f| format!("f{f}"));
+        for name in planners.chain(forwarders) {
+            issuer.identity(&name, &identity(&name), lives.as_secs() as i64, |_| {})?;
+        }
+        Ok(())
+    }
+
     fn start_planner(&mut self, issuer: &Issuer, planner: usize) -> Result<(), String> {
-        let papers = issuer.issue(&format!("planner-{planner}"), Some(PLANNER))?;
+        let papers = self.papers(issuer, &format!("planner-{planner}"), PLANNER)?;
         let settings = self.folder.join(format!("planner-{planner}.xml"));
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let write = |at: [SocketAddr; 4]| {
@@ -349,7 +404,7 @@
             at[2],
             at[3],
             folder.display(),
-            tls_xml(papers, ""),
+            tls_xml(papers, if self.day.lives.is_some() { RULES } else { "" }),
             d.fleet.as_ref().unwrap_or(&fleet)
         )
     }
@@ -380,7 +435,7 @@
             let zone = format!("z{}", f % self.day.zones);
             let near = self.servers.all.iter().filter(|s| s.zone == zone).take(6);
             let stand = Stand {
-                papers: issuer.issue(&name, Some(PROXY))?,
+                papers: self.papers(issuer, &name, PROXY)?,
                 name,
                 standing: near.map(|s| (s.name.clone(), s.address)).collect(),
                 zone,
@@ -661,6 +716,7 @@
                 self.look(now);
                 self.scripted(now);
                 self.slowly(now);
+                self.renew()?;
             }
             let next = self.agenda.iter().map(|(at, _)| *at).min().unwrap_or(end).min(next_look);
             self.one_turn(self.zero + next)?;
@@ -697,6 +753,7 @@
         let end = begin + Duration::from_secs(60);
         let ordered = |h: &Held| h.forwarder.proxy().held().ordered;
         while !self.forwarders.iter().all(ordered) {
+            self.renew()?;
             if self.turn.now() > end {
                 return Err("the forwarders were not ordered within a minute".into());
             }
--- a/rig/tests/identity.rs
+++ b/rig/tests/identity.rs
@@ -64,10 +64,8 @@
     while Instant::now() < end {
         for happened in turn.wait(Some(turn.now() + Duration::from_millis(50))).unwrap() {
             match happened {
-                Happened::Bytes { bytes, .. } => {
-                    if client.take(turn.now(), &bytes).contains(&Told::Joined) {
-                        return true;
-                    }
+                Happened::Bytes { bytes, .. } if client.take(turn.now(), &bytes).contains(&Told::Joined) => {
+                    return true;
                 }
                 Happened::Closed { .. } => return false,
                 _ => {}
@@ -307,7 +305,7 @@
         trusting(desk.issuer.identity("x", "spiffe://valle.example/staff/x", HOUR, |_| {}).unwrap(), OWN);
     let mut terms = Terms::load(&papers).unwrap();
     let own = terms.own().unwrap();
-    assert_eq!(terms.renew().unwrap(), false);
+    assert!(!terms.renew().unwrap());
     let write = |path: &std::path::Path, text: &[u8]| std::fs::write(path, text).unwrap();
     let (certificate, key) =
         (std::fs::read(&papers.certificate).unwrap(), std::fs::read(&papers.key).unwrap());
--- a/rig/tests/whole.rs
+++ b/rig/tests/whole.rs
@@ -170,6 +170,7 @@
     Day {
         fleet: None,
         fronts: Fronts::default(),
+        lives: None,
         recorded: true,
         lasts: ms(8000),
         servers,
