--- a/daemon/src/forwarder.rs
+++ b/daemon/src/forwarder.rs
@@ -125,6 +125,8 @@
     /// Who the planner is, and its certificate.
     holder: Holder,
     certificate: Vec<u8>,
+    /// When to dial anew, before either side's identity ends; seconds since 1970.
+    anew_at: Option<i64>,
 }
 
 impl Stream {
@@ -332,7 +334,15 @@
             };
             let planner = self.stand.planners[self.next_planner % self.stand.planners.len()];
             self.unheard.clear();
-            self.stream = Some(Stream { conn, planner, way, holder: who, certificate });
+            let anew_at = self.anew_at(&who);
+            // One that was dialled before the old one's identity ends takes its place.
+            if let Some(old) = self.stream.take() {
+                turn.cut(old.conn);
+                if let Way::Edits { id, .. } = old.way {
+                    self.service.left(id, &mut self.store);
+                }
+            }
+            self.stream = Some(Stream { conn, planner, way, holder: who, certificate, anew_at });
             // What was met while nobody listened is old by now.
             self.proxy.report(Duration::ZERO);
             self.reported = turn.now();
@@ -343,6 +353,16 @@
         }
     }
 
+    /// A stream is made anew at two thirds of the time that is left to it: an issuer has put new files there by then, and no
+    /// drain is missed between the old stream and the new one.
+    fn anew_at(&self, planner: &Holder) -> Option<i64> {
+        let own = self.terms.own()?.until;
+        let ends = planner.id.as_ref().map_or(own, |(_, until)| own.min(*until));
+        let now = (wall_ms() / 1000) as i64;
+        // Not in the very next second, whatever the certificates say.
+        Some(now + ((ends - now) * 2 / 3).max(1))
+    }
+
     /// The session with a planner, by its certificate's name.
     fn way(&mut self, now: Duration, planner: &str) -> Option<Way> {
         let wish = match self.stand.front {
@@ -784,7 +804,9 @@
                 self.end_published(turn);
             }
         }
-        let idle = self.stream.is_none() && self.dialling.is_none() && !self.stopping;
+        let wall = (wall_ms() / 1000) as i64;
+        let anew = self.stream.as_ref().is_some_and(|s| s.anew_at.is_some_and(|at| wall >= at));
+        let idle = (self.stream.is_none() || anew) && self.dialling.is_none() && !self.stopping;
         if idle && now >= self.dial_at && !self.stand.planners.is_empty() {
             let to = self.stand.planners[self.next_planner % self.stand.planners.len()];
             let bounds = Bounds::default();
@@ -792,6 +814,8 @@
                 Ok(conn) => {
                     self.made.push(conn);
                     self.dialling = Some(conn);
+                    // The old one's planner is tried again only after a pause, like any other.
+                    self.dial_at = now + REDIAL.1;
                 }
                 Err(_) => self.redial(now),
             }
