--- a/daemon/src/forwarder.rs
+++ b/daemon/src/forwarder.rs
@@ -175,6 +175,8 @@
     pub made: Vec<Conn>,
     /// Edits and parts taken since a host asked: lines, and which version of a table a part made whole.
     pub taken: Vec<(usize, Option<(Topic, Version)>)>,
+    /// Streams that stood since the start.
+    pub streams: u64,
     /// Reads nothing that a planner sends, for days on which that happens; what was read before it went deaf waits.
     deaf: bool,
     unheard: Vec<u8>,
@@ -224,6 +226,7 @@
             rate: 0.0,
             made: vec![listener],
             taken: vec![],
+            streams: 0,
             deaf: false,
             unheard: vec![],
             stopping: false,
@@ -343,6 +346,7 @@
                 }
             }
             self.stream = Some(Stream { conn, planner, way, holder: who, certificate, anew_at });
+            self.streams += 1;
             // What was met while nobody listened is old by now.
             self.proxy.report(Duration::ZERO);
             self.reported = turn.now();
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -58,7 +58,7 @@
         #[arg(long)]
         lives: Option<u64>,
     },
-    /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, recording, guard, spoilt, pairs, fronts, slow, storm, restart, keeping; one figure a line, `name value unit`.
+    /// Takes a measurement: edits, overhead, small, large, alone, unrecorded, recording, guard, spoilt, pairs, fronts, slow, storm, restart, keeping, identity; one figure a line, `name value unit`.
     Measure {
         name: String,
         /// Works in this folder and leaves it; pairs does not play anew what it finds there.
