Test: an authority that is struck ends its streams, and the next one carries on

Need: bundles rotate while half of the fleet has the old one. Change: a forwarder with an identity of the old authority, a planner that trusts both and then the new one alone, a new identity put in the old one's place.

--- a/rig/tests/identity.rs
+++ b/rig/tests/identity.rs
@@ -324,3 +324,44 @@
     let names = trusting(desk.issuer.issue("z", None).unwrap(), OWN);
     assert!(Terms::load(&names).err().unwrap().to_string().contains("URIs"));
 }
+
+/// Authorities change one after the other: an identity of the old one holds while that is trusted, ends with it, and one
+/// of the new one takes its place; the forwarder's other side trusts only the new one all along.
+#[test]
+fn an_authority_that_is_struck_ends_its_streams_and_the_next_one_carries_on() {
+    let mut trust = None;
+    let papers = |new: &Issuer| {
+        let papers = new.identity("p", OWN, HOUR, |_| {}).unwrap();
+        let old = Issuer::new(&papers.certificate.parent().unwrap().join("old")).unwrap();
+        let both = papers.trust.with_file_name("both.pem");
+        let old_f1 = old.identity("f1", "spiffe://valle.example/proxy/f1", HOUR, |_| {}).unwrap();
+        let text = [std::fs::read(&papers.trust).unwrap(), std::fs::read(&old_f1.trust).unwrap()].concat();
+        std::fs::write(&both, text).unwrap();
+        trust = Some((both.clone(), papers.trust.clone(), old_f1));
+        Papers { trust: both, ..papers }
+    };
+    let staff = |new: &Issuer| {
+        trusting(new.identity("lead", "spiffe://valle.example/staff/lead", HOUR, |_| {}).unwrap(), OWN)
+    };
+    let desk = Desk::by("struck", None, papers, staff, RULES);
+    let (both, new_alone, old_f1) = trust.unwrap();
+    fleet(&desk);
+    let mine = Papers { trust: new_alone.clone(), ..trusting(old_f1.clone(), OWN) };
+    let mut proxy = Proxy::new(&desk, Front::Weights, mine);
+    proxy.until("its tables", |p| p.lists(&["s1", "s2", "s3"]) && p.forwarder.is_joined());
+    // Half of the fleet has the new bundle and half the old one: neither side minds.
+    proxy.run(Duration::from_millis(1200));
+    assert!(proxy.forwarder.is_joined());
+    let streams = proxy.forwarder.streams;
+    std::fs::copy(&new_alone, &both).unwrap();
+    proxy.until("the end", |p| !p.forwarder.is_joined());
+    assert!(proxy.lists(&["s1", "s2", "s3"]));
+    // The issuer's agent puts an identity of the new authority where the old one was.
+    let next = desk.issuer.identity("f1", "spiffe://valle.example/proxy/f1", HOUR, |_| {}).unwrap();
+    for (from, to) in [(&next.key, &old_f1.key), (&next.certificate, &old_f1.certificate)] {
+        std::fs::rename(from, to).unwrap();
+    }
+    proxy.until("joined again", |p| p.forwarder.is_joined() && p.forwarder.streams > streams);
+    drain(&desk, "s2");
+    proxy.until("the drain", |p| p.lists(&["s1", "s3"]));
+}
