--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod keeper;
 pub mod papers;
 pub mod planner;
+pub mod platform;
 mod proxies;
 pub mod run;
 pub mod settings;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -50,6 +50,9 @@
         #[arg(long)]
         seed: Option<u64>,
     },
+    /// Runs a planner on the platform: what it needs is told by `EDGE_CONFIG`, `EDGE_NAME`, `EDGE_LISTEN` and
+    /// `EDGE_DISCOVERY`.
+    Platform,
     /// Runs a forwarder.
     Forwarder {
         #[arg(long)]
@@ -223,6 +226,7 @@
     }
     let outcome = match line.command {
         Command::Planner { settings, seed } => run::planner(&settings, seed, Trial::default()),
+        Command::Platform => runloom_daemon::platform::run(),
         Command::Forwarder { settings, seed } => run::forwarder(&settings, seed),
         Command::Check { files } => return check(&files),
         Command::Edit { to, id, file, drain, undrain, share, wait } => {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -2,23 +2,27 @@
 
 use std::collections::BTreeMap;
 
-/// Numbers things in the order in which they are first met.
+/// Numbers things in the order in which they are first met; numbers that were released are given out anew.
 ///
 /// ```
 /// let mut servers = runloom::ids::Ids::default();
 /// assert_eq!((servers.index(51530247), servers.index(7), servers.index(51530247)), (0, 1, 0));
 /// assert_eq!(servers.outside(1), Some(&7));
 /// assert_eq!(servers.known(&9), None);
+/// servers.release(0);
+/// assert_eq!((servers.known(&51530247), servers.outside(0)), (None, None));
+/// assert_eq!(servers.index(8), 0);
 /// ```
 #[derive(Debug, Clone)]
 pub struct Ids<T> {
     index: BTreeMap<T, usize>,
-    outside: Vec<T>,
+    outside: Vec<Option<T>>,
+    free: Vec<usize>,
 }
 
 impl<T> Default for Ids<T> {
     fn default() -> Self {
-        Ids { index: BTreeMap::new(), outside: Vec::new() }
+        Ids { index: BTreeMap::new(), outside: Vec::new(), free: Vec::new() }
     }
 }
 
@@ -28,9 +32,26 @@
         if let Some(&index) = self.index.get(&id) {
             return index;
         }
-        self.outside.push(id.clone());
-        self.index.insert(id, self.outside.len() - 1);
-        self.outside.len() - 1
+        let index = self.free.pop().unwrap_or_else(|| {
+            self.outside.push(None);
+            self.outside.len() - 1
+        });
+        self.outside[index] = Some(id.clone());
+        self.index.insert(id, index);
+        index
+    }
+
+    /// Gives an index back, for another id to have: where ids are replaced all day, their sum stays bounded.
+    pub fn release(&mut self, index: usize) {
+        if let Some(id) = self.outside.get_mut(index).and_then(Option::take) {
+            self.index.remove(&id);
+            self.free.push(index);
+        }
+    }
+
+    /// The ids met and not released, with their indices.
+    pub fn iter(&self) -> impl Iterator<Item = (&T, usize)> {
+        self.index.iter().map(|(id, index)| (id, *index))
     }
 
     /// The index of an id that was met before.
@@ -43,6 +64,6 @@
 
     /// The id behind an index.
     pub fn outside(&self, index: usize) -> Option<&T> {
-        self.outside.get(index)
+        self.outside.get(index)?.as_ref()
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -193,6 +193,10 @@
     Remembered {
         hints: Vec<Hint>,
     },
+    /// Nothing is left of a server: its index may be another's from now on.
+    Forgotten {
+        server: Server,
+    },
     Woken {
         token: u64,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -166,6 +166,8 @@
                 *at(&mut self.gate.sent, *class) = None
             }
             Event::Remembered { hints } => self.remember(hints),
+            // Whoever has the index next is new, and starts without what its forerunner left.
+            Event::Forgotten { server } => *at(&mut self.nodes, *server) = Node::default(),
             Event::Woken { token } if *token == self.token => {
                 (self.token, self.pressing) = (self.token + 1, true);
                 // Four looks a beat: what waits for room in the channel goes out soon after there is some.
@@ -251,6 +253,11 @@
         })
     }
 
+    /// Nothing is left of a server: it is not on the list and in no table.
+    pub fn is_spent(&self, server: Server) -> bool {
+        self.nodes.get(server).is_none_or(|n| n.standing == Unlisted && n.sent.is_none())
+    }
+
     /// Settles where each server stands, by what was met there and what its probes found.
     fn judge(&mut self, orders: &mut Vec<Order>) {
         let (now, slow, probes) = (self.now, self.slow(), self.facts.flag("probes.allowed"));
--- a/turn/src/lib.rs
+++ b/turn/src/lib.rs
@@ -92,6 +92,8 @@
     count: usize,
     /// Whether a turn may accept: a loop that stops takes nobody new.
     open: bool,
+    /// Nobody is taken for now; who comes waits in the system's queue.
+    held: bool,
 }
 
 /// Connections taken from one listener in a turn: a storm of hundreds must not starve the rest.
@@ -120,6 +122,8 @@
     pub lengths: Histogram<u64>,
     /// Handshakes that a turn goes on with.
     pub handshakes: usize,
+    /// Connections taken from one listener in a turn.
+    pub accepts: usize,
     /// Connections turned away since a listener had as many as it may.
     pub turned_away: u64,
 }
@@ -155,6 +159,7 @@
             // Up to a minute, two digits: a turn that long is a defect all the same.
             lengths: Histogram::new_with_bounds(1, 60_000_000, 2).map_err(no_histogram)?,
             handshakes: HANDSHAKES_MOST,
+            accepts: ACCEPTED_MOST,
             turned_away: 0,
         })
     }
@@ -190,7 +195,7 @@
         let (id, at) = (self.number(), socket.local_addr()?);
         // Deleted from the poller before it is closed, in `close_listeners` or when both are dropped.
         unsafe { self.poller.add_with_mode(&socket, Event::readable(id), PollMode::Level)? };
-        self.listeners.insert(id, Listener { socket, security, bounds, count: 0, open: true });
+        self.listeners.insert(id, Listener { socket, security, bounds, count: 0, open: true, held: false });
         Ok((id, at))
     }
 
@@ -270,6 +275,15 @@
         self.forget(conn);
     }
 
+    /// Takes no new connections for now, or again: where descriptors run short, who comes waits in the system's queue.
+    pub fn hold_listener(&mut self, id: Conn, held: bool) {
+        if let Some(listener) = self.listeners.get_mut(&id).filter(|l| l.open && l.held != held) {
+            listener.held = held;
+            let event = if held { Event::none(id) } else { Event::readable(id) };
+            let _ = self.poller.modify_with_mode(&listener.socket, event, PollMode::Level);
+        }
+    }
+
     /// Closes one listener for good; its connections stay.
     pub fn close_listener(&mut self, id: Conn) {
         if let Some(listener) = self.listeners.remove(&id).filter(|l| l.open) {
@@ -378,9 +392,9 @@
     }
 
     fn accept(&mut self, id: Conn) {
-        for _ in 0..ACCEPTED_MOST {
+        for _ in 0..self.accepts {
             let now = self.now();
-            let Some(listener) = self.listeners.get_mut(&id).filter(|l| l.open) else { return };
+            let Some(listener) = self.listeners.get_mut(&id).filter(|l| l.open && !l.held) else { return };
             // What is not there any more, or can't be had for now, is tried again with the next turn.
             let Ok((stream, _)) = listener.socket.accept() else { return };
             if listener.count >= listener.bounds.connections {
