--- /dev/null
+++ b/daemon/tests/platform.rs
@@ -0,0 +1,276 @@
+//! The real program on loopback, among stand-ins for the platform: discovery, a server, a collector, proxies.
+
+use runloom_platform::frame::{write, Reader, MESSAGE_MOST};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+/// Longer than anything here takes on any machine: verdicts go by order and counts.
+const LONG: Duration = Duration::from_secs(60);
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    (listener, at)
+}
+
+fn head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) == 1 {
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).unwrap()
+}
+
+/// Discovery: tells the path of each watch, and writes the lines it is given to the newest.
+fn discovery() -> (SocketAddr, Receiver<String>, Sender<Value>) {
+    let (listener, at) = listen();
+    let (told, paths) = channel();
+    let (lines, given) = channel::<Value>();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let path = head(&mut stream).split(' ').nth(1).unwrap_or_default().to_string();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+            let _ = told.send(path);
+            loop {
+                let line = match given.recv_timeout(Duration::from_millis(500)) {
+                    Ok(line) => format!("{line}\n"),
+                    Err(std::sync::mpsc::RecvTimeoutError::Timeout) => "\n".into(),
+                    Err(_) => return,
+                };
+                // In two pieces, as on a bad way.
+                let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+                let (a, b) = chunk.split_at(chunk.len() / 2);
+                if stream.write_all(a.as_bytes()).and_then(|()| stream.write_all(b.as_bytes())).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (at, paths, lines)
+}
+
+/// A server that answers every probe, and tells of each.
+fn server() -> (SocketAddr, Receiver<String>) {
+    let (listener, at) = listen();
+    let (told, probes) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = told.send(head(&mut stream));
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"queue\":1}");
+        }
+    });
+    (at, probes)
+}
+
+fn member(id: &str, at: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": at.to_string(), "locality": "a", "flavor": "m", "cell": 0, "phase": phase,
+        "size": 1.0, "up_since_ms": 0})
+}
+
+fn list(revision: u64, members: &[Value]) -> Value {
+    json!({"revision": revision, "complete": false, "members": members})
+}
+
+fn station(discovery: SocketAddr, server: SocketAddr) -> Value {
+    let members: Vec<Value> = ["s-1", "s-2", "s-3"].iter().map(|id| member(id, server, "SERVING")).collect();
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+        "known": {"revision": 41, "complete": true, "members": members},
+        "settings": {"balancers": 1, "classes": [{"name": "lookup", "aimS": 0.5, "credit": 1.0}],
+            "familyInfo": {"backlog": 4000.0, "channelRate": 2000.0, "overhead": 4.0, "proxies": 4, "levelKind": "none"},
+            "limits": {"probing": true}, "stats": {"fields": ["q"], "how": "answers"}, "zones": ["a"],
+            "rules": {"drainGraceS": 2.0, "coldFrom": 0.5, "warmAfterS": 1.0}}})
+}
+
+struct Planner {
+    child: Child,
+    at: SocketAddr,
+    file: PathBuf,
+}
+
+impl Planner {
+    fn start(name: &str, station: &Value) -> Planner {
+        let file = std::env::temp_dir().join(format!("runloom-platform-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, station.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_runloom"))
+            .arg("platform")
+            .env("EDGE_CONFIG", &file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let at = line.split("at=").nth(1).and_then(|rest| rest.split_whitespace().next()).expect(&line);
+        let at = at.parse().expect(&line);
+        // The log is read on, so that it never stops the planner.
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Planner { child, at, file }
+    }
+
+    fn signal(&self, signal: &str) {
+        let kill = format!("kill -{signal} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
+    }
+}
+
+impl Drop for Planner {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+struct Client {
+    stream: TcpStream,
+    reader: Reader,
+}
+
+impl Client {
+    fn open(planner: &Planner, first: &[Value]) -> Client {
+        let stream = TcpStream::connect(planner.at).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut client = Client { stream, reader: Reader::new(MESSAGE_MOST) };
+        client.say(first);
+        client
+    }
+
+    fn say(&mut self, messages: &[Value]) {
+        let mut bytes = Vec::new();
+        messages.iter().for_each(|m| write(&mut bytes, m.to_string().as_bytes()));
+        self.stream.write_all(&bytes).unwrap();
+    }
+
+    /// The next message; `None`: the planner closed the connection.
+    fn next(&mut self) -> Option<Value> {
+        let mut buffer = [0; 4096];
+        loop {
+            if let Some(message) = self.reader.next_message().unwrap() {
+                return Some(message);
+            }
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return None,
+                Ok(n) => self.reader.push(&buffer[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(e) => panic!("nothing came: {e}"),
+            }
+        }
+    }
+
+    /// Reads orders, answers their marks, until one sets this line.
+    fn until_row(&mut self, id: u64, row: Value) -> Vec<Value> {
+        let mut read = Vec::new();
+        loop {
+            let order = self.next().expect("the stream goes on");
+            if let Some(stamp) = order["stamp"].as_u64() {
+                self.say(&[json!({"t": "ACK", "id": id, "seq": stamp, "ms": 5.0})]);
+            }
+            let found = order["rows"].as_array().is_some_and(|rows| rows.contains(&row));
+            read.push(order);
+            if found {
+                return read;
+            }
+        }
+    }
+}
+
+fn joining(id: u64, new: bool) -> Value {
+    json!({"t": "SUBSCRIBE", "id": id, "site": "a", "rps": 3.0, "new": new})
+}
+
+#[test]
+fn a_proxy_is_led_through_drain_takeover_a_moved_discovery_and_the_end() {
+    let (server, probes) = server();
+    let (first, paths, lines) = discovery();
+    let mut planner = Planner::start("led", &station(first, server));
+    let mut stranger = Client::open(&planner, &[json!({"t": "PING"})]);
+    assert_eq!(stranger.next(), Some(json!({"t": "PONG"})));
+    assert_eq!(paths.recv_timeout(LONG).unwrap(), "/discovery/hosts?follow=1&since=41");
+
+    let mut proxy = Client::open(&planner, &[joining(2, true)]);
+    let told = proxy.until_row(2, json!(["s-2", 1.0]));
+    assert_eq!(told[0]["replace"], json!(true));
+    assert_eq!(told[0]["rows"].as_array().unwrap().len(), 3);
+    let mut collector = Client::open(&planner, &[json!({"t": "SOURCE", "site": "a"})]);
+    let met = |target: &str| {
+        json!({"t": "LOAD", "site": "a", "target": target, "count": 2, "fail": 0, "mean": 40.0,
+        "over": 1000.0, "util": {"queue": 1}})
+    };
+    collector.say(&[met("s-1"), met("nobody"), json!({"t": "LOAD"}), met("s-2")]);
+
+    lines.send(list(42, &[member("s-2", server, "DRAINING")])).unwrap();
+    proxy.until_row(2, json!(["s-2", 0.0]));
+
+    // A new stream, while the old one is still open.
+    let mut again = Client::open(&planner, &[joining(2, false)]);
+    let told = again.until_row(2, json!(["s-3", 1.0]));
+    assert_eq!(told[0]["rows"], json!([["s-1", 1.0], ["s-3", 1.0]]));
+    while proxy.next().is_some() {}
+
+    // Discovery moves, and goes on where the list stood; a broken file before that changes nothing.
+    let (second, moved_paths, moved) = discovery();
+    std::fs::write(&planner.file, "{").unwrap();
+    planner.signal("HUP");
+    std::fs::write(&planner.file, station(second, server).to_string()).unwrap();
+    planner.signal("HUP");
+    assert_eq!(moved_paths.recv_timeout(LONG).unwrap(), "/discovery/hosts?follow=1&since=42");
+    moved.send(list(43, &[member("s-3", server, "DRAINING")])).unwrap();
+    again.until_row(2, json!(["s-3", 0.0]));
+
+    assert!(probes.recv_timeout(LONG).unwrap().starts_with("GET /metrics/load HTTP/1.1"));
+    planner.signal("TERM");
+    assert_eq!(planner.child.wait().unwrap().code(), Some(0));
+}
+
+#[test]
+fn bad_clients_are_refused_and_keep_nobody_out() {
+    let (server, _probes) = server();
+    let (at, _paths, _lines) = discovery();
+    let planner = Planner::start("bad", &station(at, server));
+    let silent: Vec<TcpStream> = (0..300).map(|_| TcpStream::connect(planner.at).unwrap()).collect();
+    let mut proxy = Client::open(&planner, &[joining(1, true)]);
+    proxy.until_row(1, json!(["s-1", 1.0]));
+    let bad = [b"GET / HTTP/1.1\r\n\r\n".to_vec(), vec![0xee; 64], b"\x04\0\0\0{:}}".to_vec()];
+    for bytes in bad {
+        let mut client = Client::open(&planner, &[]);
+        client.stream.write_all(&bytes).unwrap();
+        // Some of it may have been on its way when the planner closed: then that is all there is.
+        assert!(client.next().is_none_or(|m| m == json!({"t": "NACK"})));
+        assert_eq!(client.next(), None);
+    }
+    for mut stream in silent {
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut rest = Vec::new();
+        let ended = stream.read_to_end(&mut rest);
+        assert!(ended.is_ok() || ended.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset));
+    }
+    let mut last = Client::open(&planner, &[joining(3, true)]);
+    last.until_row(3, json!(["s-1", 1.0]));
+}
+
+#[test]
+fn a_file_that_is_missing_or_broken_is_one_line_and_a_code() {
+    let run = |file: Option<&str>| {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_runloom"));
+        command.arg("platform").env_remove("EDGE_CONFIG");
+        file.map(|file| command.env("EDGE_CONFIG", file));
+        command.output().unwrap()
+    };
+    let broken = std::env::temp_dir().join(format!("runloom-platform-broken-{}.json", std::process::id()));
+    std::fs::write(&broken, "{\"seed\": 1}").unwrap();
+    for file in [None, Some("/nowhere/at/all"), broken.to_str()] {
+        let out = run(file);
+        let told = String::from_utf8(out.stderr).unwrap();
+        assert_eq!((out.status.code(), told.lines().count()), (Some(1), 1), "{told}");
+    }
+    std::fs::remove_file(&broken).unwrap();
+}
