--- a/src/logic.rs
+++ b/src/logic.rs
@@ -347,12 +347,15 @@
 
     fn ramp(&self, s: Server) -> f64 {
         let node = &self.nodes[s];
-        // The design's ramp: from a tenth to the full weight over ten seconds.
-        let back = 0.1 + 0.09 * self.now.saturating_sub(node.since).as_secs_f64();
+        // The design's ramp: from a tenth to the full weight over ten seconds. One that is new and was never out has
+        // only its cold time to get over, and half as long again: a fleet of which a third is new must not stay small.
+        let warm = self.fact("cold.warm_after", 20.0).max(0.1);
+        let over = if node.withdrawals.is_empty() { (1.5 * warm).clamp(2.0, 10.0) } else { 10.0 };
+        let back = 0.1 + 0.9 * self.now.saturating_sub(node.since).as_secs_f64() / over;
         let part = if node.standing == Ramping { back.min(1.0) } else { 1.0 };
         let Some(started) = node.started else { return part };
         // A cold server is smaller, and slower too: a little less than its least capacity.
-        let (from, warm) = (self.fact("cold.from", 0.1), self.fact("cold.warm_after", 20.0).max(0.1));
+        let from = self.fact("cold.from", 0.1);
         let least = (from + (1.0 - from) * self.now.saturating_sub(started).as_secs_f64() / warm).min(1.0);
         // The harder pressed the fleet, the warmer it must be: what full ones shun is heaped on a fresh one.
         // Before four beats of reports it is not known; a restarted planner may be amid an overload.
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -799,3 +799,13 @@
     let node = &planner.nodes[1];
     assert_eq!((node.standing, node.swift, node.withdrawals.len()), (Ramping, 1.0, 0));
 }
+
+#[test]
+fn a_new_server_that_stays_cold_for_a_second_has_its_full_weight_soon_and_one_that_was_out_has_not() {
+    let ramping = |since| Node { standing: Ramping, since, started: Some(since - secs(1)), ..well(0) };
+    let back = Node { withdrawals: [NOW].into(), ..ramping(NOW - secs(3)) };
+    let mut planner = planner(vec![ramping(NOW - secs(3)), back]);
+    planner.facts.0.insert("cold.warm_after".into(), Fact::Number(1.0));
+    assert_eq!(planner.ramp(0), 1.0);
+    assert!((planner.ramp(1) - 0.37).abs() < 1e-9);
+}
