--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -22,6 +22,8 @@
 const OWN: usize = 24;
 /// Newcomers taken in a turn: many enough for a storm of joins, few against the descriptors that there are.
 const ACCEPTS: usize = 16;
+/// How often it is told what was counted: seldom enough for a log that somebody reads.
+const TOLD_EVERY: Duration = Duration::from_secs(30);
 /// Bytes that may wait for a proxy that does not read: some hundred messages; the platform resets at as many.
 const UNREAD_MOST: usize = 128 << 10;
 
@@ -51,6 +53,7 @@
     probes: BTreeMap<Conn, Probe>,
     /// Probes that wait for room.
     asked: VecDeque<(u64, SocketAddr)>,
+    told: Duration,
 }
 
 fn told(name: &str) -> Option<String> {
@@ -94,7 +97,7 @@
         let watching =
             Watching { at: station.discovery, conn: None, watch, heard: false, due: Duration::ZERO };
         let (probes, asked) = (BTreeMap::new(), VecDeque::new());
-        Ok(Shell { turn, listener, file, platform, watching, probes, asked })
+        Ok(Shell { turn, listener, file, platform, watching, probes, asked, told: BEFORE })
     }
 
     fn now(&self) -> Duration {
@@ -105,6 +108,17 @@
     fn step(&mut self) -> std::io::Result<bool> {
         self.look_at_discovery();
         self.look_at_probes();
+        if self.now() >= self.told + TOLD_EVERY {
+            self.told = self.now();
+            let (streams, newcomers) = self.platform.connected();
+            tracing::info!(
+                streams,
+                newcomers,
+                servers = self.platform.servers(),
+                "counted {:?}",
+                self.platform.counts
+            );
+        }
         let deeds = self.platform.turn(self.now());
         deeds.into_iter().for_each(|deed| self.carry_out(deed));
         self.ask();
