Groups keep to a zone wherever a planner has proxies of two zones or more

Cause: divide() mixed zones in all groups wherever proxies are dealt by zone (logic.rs, home_first), for fear of one table of all servers, which only a planner with a single zone's proxies would have. Change: that exception holds only with fewer than two zones a planner.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -636,7 +636,10 @@
         let proxies = self.fact("proxies", 0.0) / self.fact("planners", 1.0);
         let lay = ready * proxies / self.fact("channel.pace", f64::INFINITY);
         // Where proxies come to a planner by chance, those here tell how much each zone gets.
-        let zones = if self.facts.flag("home_first") { 1.0 } else { self.fact("zones", 1.0).max(1.0) };
+        let zones = self.fact("zones", 1.0).max(1.0);
+        // Dealt by zone, proxies of one zone alone would have all servers in one table again.
+        let dealt = self.facts.flag("home_first") && zones < 2.0 * self.fact("planners", 1.0);
+        let zones = if dealt { 1.0 } else { zones };
         // Ten servers are few enough that their connections stay open, and enough to lose some.
         let count = if lay < 0.15 { ready.min(1.0) } else { (ready / 10.0 / zones).ceil() * zones };
         // Where keys fall into slices nothing is ordered so far (docs/design.md).
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -809,3 +809,18 @@
     assert_eq!(planner.ramp(0), 1.0);
     assert!((planner.ramp(1) - 0.37).abs() < 1e-9);
 }
+
+#[test]
+fn groups_keep_to_a_zone_unless_a_planner_may_have_one_zone_s_proxies_alone() {
+    let zones = |planners: f64| {
+        let mut planner = planner((0..40).map(|k| Node { group: None, ..well(k % 4) }).collect());
+        planner.groups.clear();
+        let numbers = [("proxies", 300.0), ("planners", planners), ("zones", 4.0), ("channel.pace", 2000.0)];
+        planner.facts = facts(&numbers);
+        planner.facts.0.insert("home_first".into(), Fact::Flag(true));
+        planner.divide();
+        planner.groups.iter().map(|g| g.zone).collect::<Vec<_>>()
+    };
+    assert_eq!(zones(2.0), [Some(0), Some(1), Some(2), Some(3)]);
+    assert_eq!(zones(4.0), [None; 4]);
+}
