--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -4,7 +4,7 @@
 use crate::{earliest, wall_ms};
 use runloom::interface::Found;
 use runloom_platform::discovery::{self, Watch};
-use runloom_platform::probe::{self, Answer, Ending};
+use runloom_platform::probe::{self, Ending, Probe};
 use runloom_platform::station::{Station, Told};
 use runloom_platform::{Deed, Platform};
 use runloom_turn::{Bounds, Conn, Happened, Security, Turn};
@@ -27,13 +27,6 @@
 /// Bytes that may wait for a proxy that does not read: some hundred messages; the platform resets at as many.
 const UNREAD_MOST: usize = 128 << 10;
 
-struct Probe {
-    ticket: u64,
-    answer: Answer,
-    since: Duration,
-    open: bool,
-}
-
 /// The watch of discovery, or the wait for the next.
 struct Watching {
     at: SocketAddr,
@@ -152,17 +145,17 @@
             }
             Happened::Bytes { conn, bytes } => match self.probes.get_mut(&conn) {
                 Some(probe) => {
-                    if let Some(ending) = probe.answer.push(&bytes, self.platform.fields()) {
+                    if let Some(ending) = probe.push(&bytes, self.platform.fields()) {
                         self.probed(conn, ending);
                     }
                 }
                 None => self.platform.bytes(conn, &bytes, now),
             },
-            Happened::Closed { conn, .. } => match self.probes.get(&conn) {
-                Some(probe) => {
-                    let ending = probe.answer.cut();
-                    self.probed(conn, ending);
-                }
+            Happened::Closed { conn, .. } => match self.probes.remove(&conn) {
+                Some(mut probe) => match probe.cut() {
+                    Some(ending) => self.ended(probe, ending),
+                    None => self.dial(probe),
+                },
                 None => self.platform.closed(conn),
             },
         }
@@ -182,38 +175,44 @@
     fn ask(&mut self) {
         while self.probes.len() < probe::AT_ONCE {
             let Some((ticket, to)) = self.asked.pop_front() else { return };
-            let bounds = Bounds { handshake: probe::PATIENCE * 2, ..Bounds::default() };
-            match self.turn.dial(to, &Security::Plain, bounds) {
-                Ok(conn) => {
-                    let query = probe::query(to, self.platform.with_load());
-                    // What is written before the connection stands goes out with it.
-                    self.turn.write(conn, &query);
-                    let since = self.now();
-                    self.probes.insert(conn, Probe { ticket, answer: Answer::default(), since, open: false });
-                }
-                // No descriptor, or no way at all from here: that says nothing about the server.
-                Err(_) => self.platform.probed(ticket, Found::Nothing.into(), Duration::ZERO),
+            self.dial(Probe::new(ticket, to, self.now()));
+        }
+    }
+
+    fn dial(&mut self, probe: Probe) {
+        let bounds = Bounds { handshake: probe::PATIENCE * 2, ..Bounds::default() };
+        match self.turn.dial(probe.to, &Security::Plain, bounds) {
+            Ok(conn) => {
+                // What is written before the connection stands goes out with it.
+                self.turn.write(conn, &probe::query(probe.to, self.platform.with_load()));
+                self.probes.insert(conn, probe);
             }
+            // No descriptor, or no way at all from here: that says nothing about the server.
+            Err(_) => self.ended(probe, Found::Nothing.into()),
         }
     }
 
     fn look_at_probes(&mut self) {
         let now = self.now();
         let late = |p: &Probe| now >= p.since + probe::PATIENCE;
-        let late: Vec<(Conn, bool)> =
-            self.probes.iter().filter(|(_, p)| late(p)).map(|(conn, p)| (*conn, p.open)).collect();
-        for (conn, open) in late {
-            self.probed(conn, if open { Found::NoAnswer.into() } else { Found::NoConnection.into() });
-        }
+        let late: Vec<(Conn, Ending)> =
+            self.probes.iter().filter(|(_, p)| late(p)).map(|(conn, p)| (*conn, p.late())).collect();
+        late.into_iter().for_each(|(conn, ending)| self.probed(conn, ending));
     }
 
     fn probed(&mut self, conn: Conn, ending: Ending) {
         if let Some(probe) = self.probes.remove(&conn) {
             self.turn.cut(conn);
-            let after = self.now().saturating_sub(probe.since);
-            tracing::debug!(ticket = probe.ticket, found = ?ending.found, ?after, load = ?ending.load, "probed");
-            self.platform.probed(probe.ticket, ending, after);
+            self.ended(probe, ending);
+        }
+    }
+
+    fn ended(&mut self, probe: Probe, ending: Ending) {
+        let after = self.now().saturating_sub(probe.since);
+        if ending.found != Found::Handled {
+            tracing::info!(to = %probe.to, found = ?ending.found, ?after, "probed");
         }
+        self.platform.probed(probe.ticket, ending, after);
     }
 
     /// Dials where there is no watch, and gives up one that is silent.
