--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -257,6 +257,21 @@
     last.until_row(3, json!(["s-1", 1.0]));
 }
 
+#[test]
+fn a_watch_that_is_silent_or_cannot_be_read_is_dialled_again() {
+    let (listener, at) = listen();
+    let (server, _probes) = server();
+    let _planner = Planner::start("silent", &station(at, server));
+    let mut kept = Vec::new();
+    // Nothing at all; a head and then nothing; no discovery; and each time the planner comes back.
+    for answer in ["", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "SSH-2.0-x\r\n", ""] {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert!(head(&mut stream).starts_with("GET /discovery/hosts?follow=1&since=41 "));
+        stream.write_all(answer.as_bytes()).unwrap();
+        kept.push(stream);
+    }
+}
+
 #[test]
 fn a_file_that_is_missing_or_broken_is_one_line_and_a_code() {
     let run = |file: Option<&str>| {
--- a/driver/src/lib.rs
+++ b/driver/src/lib.rs
@@ -6,7 +6,7 @@
 mod tables;
 pub mod witness;
 
-use runloom::ids::Ids;
+use runloom::ids::{named, Ids};
 use runloom::interface::{Entry, Event, Found, Hint, Learned, Listing, Mode, Order, Proxy, Server, Table};
 use runloom::Planner;
 use runloom_guard::{Guard, Terms};
@@ -470,7 +470,9 @@
                     deeds.extend(address.map(|address| Deed::Probe { server, address }));
                 }
                 Order::Wake { after, token } => self.wakes.push(std::cmp::Reverse((now + after, token))),
-                Order::Log { text } => deeds.push(Deed::Log { text: self.named(&text) }),
+                Order::Log { text } => {
+                    deeds.push(Deed::Log { text: named(&text, |s| Some(self.server_name(s).to_string())) })
+                }
                 // The list comes unasked here, and planners have no peers.
                 Order::Subscribe { .. } | Order::Fetch | Order::Tell { .. } => {}
             }
@@ -518,17 +520,6 @@
         }
         self.most_waiting = self.most_waiting.max(self.lines_waiting());
     }
-
-    /// The decisions number servers in the order in which they met them; people know them by name.
-    fn named(&self, text: &str) -> String {
-        let mut words = text.splitn(3, ' ');
-        match (words.next(), words.next().map(str::parse::<usize>), words.next()) {
-            (Some("server"), Some(Ok(server)), Some(rest)) => {
-                format!("server {} {rest}", self.server_name(server))
-            }
-            _ => text.to_string(),
-        }
-    }
 }
 
 /// Whole microseconds, as a record has them: decisions on finer times could not be replayed.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -67,3 +67,22 @@
         self.outside.get(index)?.as_ref()
     }
 }
+
+/// A line of the decisions' log with the server's name in place of its number, which people do not know and which,
+/// once given back, may be another's.
+///
+/// ```
+/// let name = |server: usize| (server == 4).then(|| "s-77".to_string());
+/// assert_eq!(runloom::ids::named("server 4 Withdrawn: all", name), "server s-77 Withdrawn: all");
+/// assert_eq!(runloom::ids::named("server 5 Withdrawn", name), "server 5 Withdrawn");
+/// ```
+pub fn named(text: &str, name: impl Fn(usize) -> Option<String>) -> String {
+    let mut words = text.splitn(3, ' ');
+    let told = match (words.next(), words.next().and_then(|n| n.parse().ok()), words.next()) {
+        (Some("server"), Some(server), Some(rest)) => {
+            name(server).map(|name| format!("server {name} {rest}"))
+        }
+        _ => None,
+    };
+    told.unwrap_or_else(|| text.to_string())
+}
