A bind costs the channel what it is, so that proxies that come all at once get tables in time

Seen: after a planner's end all its proxies join the other; traced, the last two had their table after 2.2 s, of a grace of 2.5 s for drains, though the channel stood empty most of that time. Examined: joins, marks and the looks four times a second come as they should (excluded); the room did not. Cause: bind() reckoned twice a bind's lines, and the flying lines took that over (logic.rs, cost in bind).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -800,7 +800,9 @@
             let Group { servers, apart, weight, .. } = self.groups[g];
             let early = joined.old && self.gate.beats < 2;
             let keeps = doubts && joined.bound.is_none() && (early || self.gate.astray);
-            let cost = 2.0 * (1 + servers + self.gate.sent.len()) as f64;
+            // What it is, and no more: reckoned too dear, proxies that all come at once wait past the grace of drains.
+            let tables = if apart != 0 { 2.0 } else { 1.0 };
+            let cost = tables * (1 + servers + self.gate.sent.len()) as f64;
             if joined.bound == Some(apart) || cost > self.channel.room || weight <= 0.0 || keeps {
                 continue;
             }
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -826,3 +826,12 @@
     assert_eq!(zones(2.0), [Some(0), Some(1), Some(2), Some(3)]);
     assert_eq!(zones(4.0), [None; 4]);
 }
+
+#[test]
+fn proxies_that_all_come_at_once_are_bound_as_far_as_the_channel_really_has_room() {
+    let mut planner = planner((0..10).map(|_| Node { sent: Some((1, 1.0)), ..well(0) }).collect());
+    planner.proxies = (0..100).map(|_| proxy(None)).collect();
+    let binds = sent(&mut planner).iter().filter(|o| matches!(o, Order::Bind { .. })).count();
+    // A thousand and a hundred lines, where 1,500 have room.
+    assert_eq!(binds, 100);
+}
