--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -1,5 +1,5 @@
-//! A planner on the platform: sockets, signals, files and clocks round [`runloom_platform::Platform`], on the one
-//! loop. Nothing here decides on servers.
+//! A planner on the platform: sockets, signals, files and clocks round [`runloom_platform::Platform`], on the
+//! one loop. Nothing here decides on servers.
 
 use crate::{earliest, wall_ms};
 use runloom::interface::Found;
@@ -14,11 +14,12 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-/// The decisions' clock begins an hour before the process: servers that started before it have a place on it, and
-/// an hour is longer than any of them stays cold.
+/// The decisions' clock begins an hour before the process: servers that started before it have a place on it,
+/// and an hour is longer than any of them stays cold.
 const BEFORE: Duration = Duration::from_secs(3600);
-/// Descriptors that are no connection of proxies, collectors or strangers: standard streams, the loop's own three,
-/// signals, the listener, the file that is read again, discovery's watch and the next one; and some to spare.
+/// Descriptors that are no connection of proxies, collectors or strangers: standard streams, the loop's own
+/// three, signals, the listener, the file that is read again, discovery's watch and the next one; and some to
+/// spare.
 const OWN: usize = 24;
 /// Newcomers taken in a turn: many enough for a storm of joins, few against the descriptors that there are.
 const ACCEPTS: usize = 16;
--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -85,7 +85,8 @@
         "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
         "known": {"revision": 41, "complete": true, "members": members},
         "settings": {"balancers": 1, "classes": [{"name": "lookup", "aimS": 0.5, "credit": 1.0}],
-            "familyInfo": {"backlog": 4000.0, "channelRate": 2000.0, "overhead": 4.0, "proxies": 4, "levelKind": "none"},
+            "familyInfo": {"backlog": 4000.0, "channelRate": 2000.0, "overhead": 4.0, "proxies": 4,
+                "levelKind": "none"},
             "limits": {"probing": true}, "stats": {"fields": ["q"], "how": "answers"}, "zones": ["a"],
             "rules": {"drainGraceS": 2.0, "coldFrom": 0.5, "warmAfterS": 1.0}}})
 }
--- a/facts/src/lib.rs
+++ b/facts/src/lib.rs
@@ -1,5 +1,5 @@
-//! The platform's start message, told to every planner alike: its settings as [`Facts`], which the adapter and the
-//! running planner both read here, so that the same decisions go by the same facts.
+//! The platform's start message, told to every planner alike: its settings as [`Facts`], which the adapter
+//! and the running planner both read here, so that the same decisions go by the same facts.
 
 use runloom::ids::Ids;
 use runloom::interface::{Fact, Facts};
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -68,8 +68,8 @@
     }
 }
 
-/// A line of the decisions' log with the server's name in place of its number, which people do not know and which,
-/// once given back, may be another's.
+/// A line of the decisions' log with the server's name in place of its number, which people do not know and
+/// which, once given back, may be another's.
 ///
 /// ```
 /// let name = |server: usize| (server == 4).then(|| "s-77".to_string());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -189,7 +189,8 @@
         after: Duration,
         load: Vec<f64>,
     },
-    /// What an earlier start learned of servers, aged; comes after the list, and says nothing about those not in it.
+    /// What an earlier start learned of servers, aged; comes after the list, and says nothing about those not
+    /// in it.
     Remembered {
         hints: Vec<Hint>,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -223,8 +223,9 @@
         }
     }
 
-    /// Hints of an earlier start, never verdicts (a departure, docs/design.md): a server in doubt comes back as one
-    /// that was out, and its first failures in a row count; what was met since the start counts for more.
+    /// Hints of an earlier start, never verdicts (a departure, docs/design.md): a server in doubt comes back
+    /// as one that was out, and its first failures in a row count; what was met since the start counts for
+    /// more.
     fn remember(&mut self, hints: &[Hint]) {
         let doubted = |h: &&Hint| h.doubt >= 0.3;
         // Many in doubt at once had one cause, an overload or something shared: that says nothing of any one.
@@ -347,8 +348,9 @@
 
     fn ramp(&self, s: Server) -> f64 {
         let node = &self.nodes[s];
-        // The design's ramp: from a tenth to the full weight over ten seconds. One that is new and was never out has
-        // only its cold time to get over, and half as long again: a fleet of which a third is new must not stay small.
+        // The design's ramp: from a tenth to the full weight over ten seconds. One that is new and was never
+        // out has only its cold time to get over, and half as long again: a fleet of which a third is new
+        // must not stay small.
         let warm = self.fact("cold.warm_after", 20.0).max(0.1);
         let over = if node.withdrawals.is_empty() { (1.5 * warm).clamp(2.0, 10.0) } else { 10.0 };
         let back = 0.1 + 0.9 * self.now.saturating_sub(node.since).as_secs_f64() / over;
@@ -379,8 +381,8 @@
         let evidence = |n: &Node| {
             let tries = if alone { f64::from(n.tries) / n.listed } else { n.swift };
             match n {
-                // With little to do, a server is quicker than with its part: what it says while its weight grows
-                // would make that grow past what it can do.
+                // With little to do, a server is quicker than with its part: what it says while its weight
+                // grows would make that grow past what it can do.
                 n if n.standing == Ramping || (n.busy > 0.05 && n.tries < 8.0) => None,
                 n if n.busy > 0.05 => Some((0, n.busy / tries, true)),
                 n if n.work.count() >= 4.0 => Some((n.kind + 1, n.listed * n.work.mean(), true)),
@@ -407,9 +409,9 @@
         }
     }
 
-    /// How far each kind is to be above what the list says, by half of what its queries take less than the others':
-    /// guards against a list that counts slow cores like swift ones. Does harm where a kind is slow with
-    /// nothing to do; by half, it still gets the most of its part.
+    /// How far each kind is to be above what the list says, by half of what its queries take less than the
+    /// others': guards against a list that counts slow cores like swift ones. Does harm where a kind is slow
+    /// with nothing to do; by half, it still gets the most of its part.
     fn pull(&self) -> Vec<f64> {
         let mut kinds: Vec<(f64, f64)> = Vec::new();
         let known = |n: &&Node| n.standing == Eligible && n.times.count() >= 4.0;
@@ -800,7 +802,8 @@
             let Group { servers, apart, weight, .. } = self.groups[g];
             let early = joined.old && self.gate.beats < 2;
             let keeps = doubts && joined.bound.is_none() && (early || self.gate.astray);
-            // What it is, and no more: reckoned too dear, proxies that all come at once wait past the grace of drains.
+            // What it is, and no more: reckoned too dear, proxies that all come at once wait past the grace
+            // of drains.
             let tables = if apart != 0 { 2.0 } else { 1.0 };
             let cost = tables * (1 + servers + self.gate.sent.len()) as f64;
             if joined.bound == Some(apart) || cost > self.channel.room || weight <= 0.0 || keeps {
--- a/src/state.rs
+++ b/src/state.rs
@@ -163,7 +163,8 @@
     pub fn applied(&mut self, proxy: Proxy, mark: u16) {
         if let Some(place) = self.flying.iter().position(|f| f.mark == mark) {
             self.flying.drain(..place);
-            // So many of them are through. Guards against the whole waiting for the slowest proxy, while others join.
+            // So many of them are through. Guards against the whole waiting for the slowest proxy, while
+            // others join.
             let flying = &mut self.flying[0];
             let of = flying.awaited.len() as f64;
             if flying.awaited.remove(&proxy) {
