--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -117,6 +117,11 @@
         Planner { child, at, file }
     }
 
+    /// The descriptors that it holds now.
+    fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     fn signal(&self, signal: &str) {
         let kill = format!("kill -{signal} {}", self.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
@@ -224,8 +229,11 @@
     std::fs::write(&planner.file, station(second, server).to_string()).unwrap();
     planner.signal("HUP");
     assert_eq!(moved_paths.recv_timeout(LONG).unwrap(), "/discovery/hosts?follow=1&since=42");
+    // The same file once more: nothing starts over, so that the next order alters the table and is no whole one.
+    planner.signal("HUP");
     moved.send(list(43, &[member("s-3", server, "DRAINING")])).unwrap();
-    again.until_row(2, json!(["s-3", 0.0]));
+    let told = again.until_row(2, json!(["s-3", 0.0]));
+    assert!(told.iter().all(|order| order.get("replace").is_none()), "{told:?}");
 
     assert!(probes.recv_timeout(LONG).unwrap().starts_with("GET /metrics/load HTTP/1.1"));
     planner.signal("TERM");
@@ -240,6 +248,8 @@
     let silent: Vec<TcpStream> = (0..300).map(|_| TcpStream::connect(planner.at).unwrap()).collect();
     let mut proxy = Client::open(&planner, &[joining(1, true)]);
     proxy.until_row(1, json!(["s-1", 1.0]));
+    // The listener waits while they are short: never more than the station allows.
+    assert!(planner.descriptors() <= 256);
     let bad = [b"GET / HTTP/1.1\r\n\r\n".to_vec(), vec![0xee; 64], b"\x04\0\0\0{:}}".to_vec()];
     for bytes in bad {
         let mut client = Client::open(&planner, &[]);
@@ -258,6 +268,51 @@
     last.until_row(3, json!(["s-1", 1.0]));
 }
 
+#[test]
+fn a_planner_that_was_killed_starts_from_nothing_and_keeps_a_drain() {
+    let (server, _probes) = server();
+    let (at, _paths, _lines) = discovery();
+    let mut station = station(at, server);
+    let mut planner = Planner::start("killed", &station);
+    let mut proxy = Client::open(&planner, &[joining(1, true)]);
+    proxy.until_row(1, json!(["s-2", 1.0]));
+    planner.signal("KILL");
+    assert_eq!(planner.child.wait().unwrap().code(), None);
+    while proxy.next().is_some() {}
+    station["known"]["members"][1]["phase"] = json!("DRAINING");
+    let planner = Planner::start("killed-again", &station);
+    // It comes with the table of before.
+    let mut proxy = Client::open(&planner, &[joining(1, false)]);
+    let told = proxy.until_row(1, json!(["s-3", 1.0]));
+    assert_eq!((&told[0]["replace"], &told[0]["rows"]), (&json!(true), &json!([["s-1", 1.0], ["s-3", 1.0]])));
+}
+
+#[test]
+fn probes_of_silent_servers_are_bounded_and_give_their_descriptors_back() {
+    let (listener, server) = listen();
+    let (told, probes) = channel();
+    std::thread::spawn(move || {
+        // Takes every query and answers none.
+        let mut kept = Vec::new();
+        for stream in listener.incoming() {
+            kept.push(stream.unwrap());
+            let _ = told.send(());
+        }
+    });
+    let (at, _paths, _lines) = discovery();
+    let mut station = station(at, server);
+    let members: Vec<Value> = (0..120).map(|k| member(&format!("s-{k}"), server, "SERVING")).collect();
+    station["known"]["members"] = json!(members);
+    let planner = Planner::start("probes", &station);
+    let before = planner.descriptors();
+    // Every server once and most of them again; the watch may be dialled anew meanwhile.
+    for _ in 0..200 {
+        probes.recv_timeout(LONG).unwrap();
+        let now = planner.descriptors();
+        assert!(now <= before + 16 + 2, "{now} after {before}");
+    }
+}
+
 #[test]
 fn a_watch_that_is_silent_or_cannot_be_read_is_dialled_again() {
     let (listener, at) = listen();
