Rig: a planner's addresses are kept by bound sockets, so that no two draw the same

Faulty: free() in rig/src/world.rs drew a port of 12,000, looked whether it was free, and let go of it. Change: the system gives each address, and a socket that is bound, does not listen and shares keeps it for the process's life, over a planner's restarts too. No draw, no tries. A test of the loop dialled a port it had let go of, and is mended alike. Measured: 576 addresses asked for by nine threads differ, each can be listened at by one planner at a time, again after it ended, and is given to none of 200 others; the tests of rig and turn pass. Conclusion: the failure was the rig's, not the planner's.

--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -20,13 +20,14 @@
 use runloom_model::forwarder::{Stand, Told};
 use runloom_publish::{Kind, Topic, Version};
 use runloom_turn::{Conn, Happened, Turn, Why};
+use socket2::{Domain, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How often forwarders' tables are looked at.
@@ -42,50 +43,26 @@
     pub metrics: SocketAddr,
 }
 
-/// Free addresses below the range out of which the system gives connections theirs (from 32,768 on): a planner that is
-/// started again must find its own, which a connection may hold by then if they were picked by the system.
-pub fn free<const N: usize>() -> [SocketAddr; N] {
-    let free = |_| {
-        let mut at = SocketAddr::from(([127, 0, 0, 1], 0));
-        // A thousand draws of twelve thousand: some is free unless nearly all are taken.
-        for _ in 0..1000 {
-            let drawn = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), 0u8);
-            at.set_port(20_000 + (drawn % 12_000) as u16);
-            if std::net::TcpListener::bind(at).is_ok() {
-                break;
-            }
-        }
-        at
-    };
-    std::array::from_fn(free)
+/// Free addresses that stay with this process until it ends. Each is kept by a socket that is bound, does not listen,
+/// and shares its address with those that share theirs, as planners do. Guards against two that draw the same before
+/// either listens, and against a connection that the system gives the address of a planner which is started again.
+pub fn free<const N: usize>() -> std::io::Result<[SocketAddr; N]> {
+    static KEPT: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
+    let mut all = [SocketAddr::from(([127, 0, 0, 1], 0)); N];
+    for at in &mut all {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        // Shared from here on only: while it is bound, the system gives no address that anyone has.
+        socket.bind(&(*at).into())?;
+        socket.set_reuse_address(true)?;
+        *at = socket.local_addr()?.as_socket().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+        KEPT.lock().unwrap_or_else(PoisonError::into_inner).push(socket);
+    }
+    Ok(all)
 }
 
-/// Starts are tried so often, a fifth of a second apart: another's draw may have been the same.
-const STARTS: usize = 10;
-
 impl Process {
-    /// Starts a planner, and again where an address was taken meanwhile.
-    pub fn start(
-        own: &Path,
-        settings: &Path,
-        seed: u64,
-        log: &Path,
-        trial: &[&str],
-    ) -> Result<(Child, Reachable), String> {
-        let mut last = String::new();
-        for _ in 0..STARTS {
-            match Process::spawn(own, settings, seed, log, trial) {
-                Ok(started) => return Ok(started),
-                Err(why) => last = why,
-            }
-            std::thread::sleep(Duration::from_millis(200));
-        }
-        let tail = std::fs::read_to_string(log).unwrap_or_default();
-        Err(format!("{last}: {}", tail.lines().last().unwrap_or_default()))
-    }
-
     /// Starts a planner by the rig's program `own`, and reads where it can be reached.
-    pub fn spawn(
+    pub fn start(
         own: &Path,
         settings: &Path,
         seed: u64,
@@ -122,7 +99,9 @@
             _ => {
                 let _ = child.kill();
                 let _ = child.wait();
-                Err(format!("the planner did not start: see {}", log.display()))
+                let told = std::fs::read_to_string(log).unwrap_or_default();
+                let last = told.lines().last().unwrap_or_default();
+                Err(format!("the planner did not start: see {}: {last}", log.display()))
             }
         }
     }
@@ -396,7 +375,7 @@
     fn start_planner(&mut self, issuer: &Issuer, planner: usize) -> Result<(), String> {
         let papers = self.papers(issuer, &format!("planner-{planner}"), PLANNER)?;
         let settings = self.folder.join(format!("planner-{planner}.xml"));
-        let any: [SocketAddr; 4] = free();
+        let any: [SocketAddr; 4] = free().map_err(|e| e.to_string())?;
         let write = |at: [SocketAddr; 4]| {
             std::fs::write(&settings, self.planner_xml(planner, &papers, at)).map_err(|e| e.to_string())
         };
@@ -1052,3 +1031,27 @@
     let line = |l: &str| l.rsplit_once(' ').and_then(|(k, v)| Some((k.to_string(), v.parse().ok()?)));
     Some(text.lines().filter(|l| l.starts_with("runloom_")).filter_map(line).collect())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::free;
+    use std::collections::BTreeSet;
+    use std::net::TcpListener;
+
+    #[test]
+    fn an_address_that_was_given_out_is_the_planners_over_its_restarts_and_nobody_elses() {
+        let mine = free::<64>().unwrap();
+        let others: Vec<_> = (0..8).map(|_| std::thread::spawn(|| free::<64>().unwrap())).collect();
+        let others = others.into_iter().flat_map(|o| o.join().unwrap());
+        assert_eq!(mine.into_iter().chain(others).collect::<BTreeSet<_>>().len(), 9 * 64);
+        for at in mine {
+            let planner = TcpListener::bind(at).unwrap();
+            assert!(TcpListener::bind(at).is_err(), "two listen at {at}");
+            drop(planner);
+            TcpListener::bind(at).unwrap();
+        }
+        let any = || TcpListener::bind("127.0.0.1:0").unwrap();
+        let open: Vec<TcpListener> = (0..200).map(|_| any()).collect();
+        assert!(open.iter().all(|l| !mine.contains(&l.local_addr().unwrap())));
+    }
+}
--- a/rig/tests/help/mod.rs
+++ b/rig/tests/help/mod.rs
@@ -90,7 +90,7 @@
         let issuer = Issuer::new(&folder.0.join("papers")).unwrap();
         let papers = papers(&issuer);
         let settings = folder.0.join("planner.xml");
-        let any = free();
+        let any = free().unwrap();
         write_settings(&settings, &folder.0, &papers, rules, any);
         let dies = dies.map(|point| format!("--dies={point}"));
         let trial: Vec<&str> = dies.iter().map(String::as_str).collect();
--- a/turn/src/tests.rs
+++ b/turn/src/tests.rs
@@ -137,8 +137,11 @@
     let closed =
         |_: &mut Turn, h: &Happened| if let Happened::Closed { why, .. } = h { Some(*why) } else { None };
     assert_eq!(until(&mut turn, closed), Why::Slow);
-    let free = TcpListener::bind(ANY).unwrap().local_addr().unwrap();
-    turn.dial(free, &starts, Bounds::default()).unwrap();
+    // Bound and not listening: it refuses, and nobody else is given it meanwhile.
+    let deaf = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    deaf.bind(&any().into()).unwrap();
+    let deaf_at = deaf.local_addr().unwrap().as_socket().unwrap();
+    turn.dial(deaf_at, &starts, Bounds::default()).unwrap();
     assert_eq!(until(&mut turn, closed), Why::Refused);
 }
 
