--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -122,6 +122,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// The most memory that it has held.
+    fn peak_kib(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        peak.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     fn signal(&self, signal: &str) {
         let kill = format!("kill -{signal} {}", self.child.id());
         assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
@@ -268,6 +275,27 @@
     last.until_row(3, json!(["s-1", 1.0]));
 }
 
+#[test]
+fn a_proxy_that_does_not_read_loses_its_stream_and_holds_up_nobody() {
+    let (server, _probes) = server();
+    let (at, _paths, lines) = discovery();
+    let planner = Planner::start("deaf", &station(at, server));
+    let mut other = Client::open(&planner, &[joining(1, true)]);
+    other.until_row(1, json!(["s-1", 1.0]));
+    let mut deaf = Client::open(&planner, &[joining(2, true)]);
+    let mut pings = Vec::new();
+    (0..4096).for_each(|_| write(&mut pings, br#"{"t":"PING"}"#));
+    // The system keeps some megabytes of answers for a connection; a hundred are more than it ever does.
+    let sent = (0..1600).take_while(|_| deaf.stream.write_all(&pings).is_ok()).count();
+    assert!(sent < 1600, "a hundred megabytes of answers were taken in");
+    lines.send(list(42, &[member("s-2", server, "DRAINING")])).unwrap();
+    other.until_row(1, json!(["s-2", 0.0]));
+    let mut again = Client::open(&planner, &[joining(2, false)]);
+    let told = again.until_row(2, json!(["s-3", 1.0]));
+    assert_eq!(told[0]["rows"], json!([["s-1", 1.0], ["s-3", 1.0]]));
+    assert!(planner.peak_kib() < 32 << 10, "{} KiB", planner.peak_kib());
+}
+
 #[test]
 fn a_planner_that_was_killed_starts_from_nothing_and_keeps_a_drain() {
     let (server, _probes) = server();
