--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -236,7 +236,8 @@
     std::fs::write(&planner.file, station(second, server).to_string()).unwrap();
     planner.signal("HUP");
     assert_eq!(moved_paths.recv_timeout(LONG).unwrap(), "/discovery/hosts?follow=1&since=42");
-    // The same file once more: nothing starts over, so that the next order alters the table and is no whole one.
+    // The same file once more: nothing starts over, so that the next order alters the table and is no whole
+    // one.
     planner.signal("HUP");
     moved.send(list(43, &[member("s-3", server, "DRAINING")])).unwrap();
     let told = again.until_row(2, json!(["s-3", 0.0]));
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -43,9 +43,10 @@
     pub metrics: SocketAddr,
 }
 
-/// Free addresses that stay with this process until it ends. Each is kept by a socket that is bound, does not listen,
-/// and shares its address with those that share theirs, as planners do. Guards against two that draw the same before
-/// either listens, and against a connection that the system gives the address of a planner which is started again.
+/// Free addresses that stay with this process until it ends. Each is kept by a socket that is bound, does not
+/// listen, and shares its address with those that share theirs, as planners do. Guards against two that draw
+/// the same before either listens, and against a connection that the system gives the address of a planner
+/// which is started again.
 pub fn free<const N: usize>() -> std::io::Result<[SocketAddr; N]> {
     static KEPT: Mutex<Vec<Socket>> = Mutex::new(Vec::new());
     let mut all = [SocketAddr::from(([127, 0, 0, 1], 0)); N];
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -404,8 +404,8 @@
                 let lag = (mean - time.ln()).clamp(-1.0, 1.0);
                 // What answers to the weight itself, seconds late, is taken up slowly, or by half: no swing.
                 let goal = pull + if direct { lag } else { lag * 0.5 };
-                // A new one that is slower than the rest fills its queue until that is learned; one that seems
-                // swifter may be so for its empty queue.
+                // A new one that is slower than the rest fills its queue until that is learned; one that
+                // seems swifter may be so for its empty queue.
                 let new = started.is_some() && self.now < *since + secs(10);
                 let pace = match direct {
                     true if new && goal < swift.ln() => 0.3,
