--- a/daemon/tests/platform.rs
+++ b/daemon/tests/platform.rs
@@ -276,6 +276,23 @@
     last.until_row(3, json!(["s-1", 1.0]));
 }
 
+#[test]
+fn all_proxies_of_a_fleet_fit_at_one_planner_of_the_least_descriptors() {
+    let (server, _probes) = server();
+    let (at, _paths, _lines) = discovery();
+    let mut station = station(at, server);
+    station["settings"]["familyInfo"]["proxies"] = json!(150);
+    let planner = Planner::start("storm", &station);
+    // All of them first, as after a restart; then each reads its table.
+    let mut proxies: Vec<Client> = (0..150).map(|id| Client::open(&planner, &[joining(id, true)])).collect();
+    for (id, proxy) in proxies.iter_mut().enumerate() {
+        let told = proxy.until_row(id as u64, json!(["s-3", 1.0]));
+        assert_eq!(told[0]["rows"].as_array().unwrap().len(), 3);
+    }
+    assert!((150..=256).contains(&planner.descriptors()), "{}", planner.descriptors());
+    assert!(planner.peak_kib() < 32 << 10, "{} KiB", planner.peak_kib());
+}
+
 #[test]
 fn a_proxy_that_does_not_read_loses_its_stream_and_holds_up_nobody() {
     let (server, _probes) = server();
