A listener without descriptors rests instead of spinning

Seen: with 32 descriptors and 64 peers dialling, the loop went round 117,286 times in half a second with nothing to do (test a_listener_without_descriptors_rests, without the fix).

Cause: accept() fails with EMFILE, `accept` of turn/src/lib.rs returned, and the listener, watched by level, was ready again at once. Excluded: connections that went before they were accepted; they are taken off the queue by accept().

Change: at ENOMEM, ENFILE, EMFILE and ENOBUFS the listener is not looked at for 50 ms.

--- a/turn/src/lib.rs
+++ b/turn/src/lib.rs
@@ -94,6 +94,14 @@
     open: bool,
     /// Nobody is taken for now; who comes waits in the system's queue.
     held: bool,
+    /// Nor until then: there was no descriptor for the next.
+    rests_until: Option<Duration>,
+}
+
+impl Listener {
+    fn takes(&self) -> bool {
+        self.open && !self.held && self.rests_until.is_none()
+    }
 }
 
 /// Connections taken from one listener in a turn: a storm of hundreds must not starve the rest.
@@ -103,6 +111,9 @@
 pub(crate) const HANDSHAKES_MOST: usize = 12;
 /// How long a finished connection waits for the other side to close too.
 const LINGER: Duration = Duration::from_secs(1);
+/// How long nobody is taken once descriptors have run out. Who waits in the system's queue keeps the listener
+/// ready, so that a loop which tried again at once would do nothing else.
+const REST: Duration = Duration::from_millis(50);
 /// How often times are looked at when nothing else happens; idle and handshake bounds are this coarse.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -195,7 +206,9 @@
         let (id, at) = (self.number(), socket.local_addr()?);
         // Deleted from the poller before it is closed, in `close_listeners` or when both are dropped.
         unsafe { self.poller.add_with_mode(&socket, Event::readable(id), PollMode::Level)? };
-        self.listeners.insert(id, Listener { socket, security, bounds, count: 0, open: true, held: false });
+        let listener =
+            Listener { socket, security, bounds, count: 0, open: true, held: false, rests_until: None };
+        self.listeners.insert(id, listener);
         Ok((id, at))
     }
 
@@ -279,11 +292,29 @@
     pub fn hold_listener(&mut self, id: Conn, held: bool) {
         if let Some(listener) = self.listeners.get_mut(&id).filter(|l| l.open && l.held != held) {
             listener.held = held;
-            let event = if held { Event::none(id) } else { Event::readable(id) };
+            self.arm(id);
+        }
+    }
+
+    /// Looks for who comes to a listener, or no longer.
+    fn arm(&self, id: Conn) {
+        if let Some(listener) = self.listeners.get(&id).filter(|l| l.open) {
+            let event = if listener.takes() { Event::readable(id) } else { Event::none(id) };
             let _ = self.poller.modify_with_mode(&listener.socket, event, PollMode::Level);
         }
     }
 
+    /// Takes newcomers again where the rest is over. Gives when the next one is.
+    fn end_rests(&mut self, now: Duration) -> Option<Duration> {
+        let over = |l: &Listener| l.rests_until.is_some_and(|until| now >= until);
+        let over: Vec<Conn> = self.listeners.iter().filter(|(_, l)| over(l)).map(|(id, _)| *id).collect();
+        for id in over {
+            self.listeners.entry(id).and_modify(|l| l.rests_until = None);
+            self.arm(id);
+        }
+        self.listeners.values().filter_map(|l| l.rests_until).min()
+    }
+
     /// Closes one listener for good; its connections stay.
     pub fn close_listener(&mut self, id: Conn) {
         if let Some(listener) = self.listeners.remove(&id).filter(|l| l.open) {
@@ -329,7 +360,8 @@
             self.lengths.saturating_record(since.elapsed().as_micros() as u64);
         }
         let now = self.now();
-        let due = until.unwrap_or(Duration::MAX).min(self.swept + SWEEP).saturating_sub(now);
+        let rest = self.end_rests(now);
+        let due = until.into_iter().chain(rest).fold(self.swept + SWEEP, Duration::min).saturating_sub(now);
         let patience = if self.told.is_empty() { due } else { Duration::ZERO };
         self.events.clear();
         match self.poller.wait(&mut self.events, Some(patience)) {
@@ -394,9 +426,17 @@
     fn accept(&mut self, id: Conn) {
         for _ in 0..self.accepts {
             let now = self.now();
-            let Some(listener) = self.listeners.get_mut(&id).filter(|l| l.open && !l.held) else { return };
-            // What is not there any more, or can't be had for now, is tried again with the next turn.
-            let Ok((stream, _)) = listener.socket.accept() else { return };
+            let Some(listener) = self.listeners.get_mut(&id).filter(|l| l.takes()) else { return };
+            let stream = match listener.socket.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if SHORT.contains(&e.raw_os_error().unwrap_or(0)) => {
+                    listener.rests_until = Some(now + REST);
+                    self.arm(id);
+                    return;
+                }
+                // What is not there any more is tried again with the next turn.
+                Err(_) => return,
+            };
             if listener.count >= listener.bounds.connections {
                 self.turned_away += 1;
                 continue;
@@ -431,6 +471,8 @@
     }
 }
 
+/// There is no descriptor or no memory for one more connection now: ENOMEM, ENFILE, EMFILE, ENOBUFS.
+const SHORT: [i32; 4] = [12, 23, 24, 105];
 /// Connecting goes on in the background (Linux, and alike on what else this runs on).
 const EINPROGRESS: i32 = 115;
 
--- a/turn/src/tests.rs
+++ b/turn/src/tests.rs
@@ -201,3 +201,54 @@
     }
     assert_eq!(open, 2 * count, "both sides of each");
 }
+
+/// In a process of its own, where few descriptors are left; plays nothing when it is called by itself.
+#[test]
+fn a_listener_without_descriptors_rests() {
+    let Ok(at) = std::env::var("RUNLOOM_TURN_SHORT") else {
+        return in_a_process_of_few_descriptors();
+    };
+    let mut turn = Turn::new().unwrap();
+    let (_, at) = turn.listen(at.parse().unwrap(), Security::Plain, Bounds::default()).unwrap();
+    println!("listens at {at}");
+    let (mut taken, mut all, mut idle) = (Vec::new(), 0, 0);
+    // Some rests long nobody goes, and more wait than can be taken.
+    let full = Duration::from_millis(500);
+    while all < 64 {
+        let happened = turn.wait(None).unwrap();
+        idle += usize::from(happened.is_empty());
+        taken.extend(happened.iter().filter_map(|h| match h {
+            Happened::Open { conn, .. } => Some(*conn),
+            _ => None,
+        }));
+        if turn.now() > full {
+            all += taken.len();
+            taken.drain(..).for_each(|conn| turn.cut(conn));
+        }
+    }
+    // A rest lasts fifty milliseconds: a loop that never rests is idle thousands of times meanwhile.
+    let most = turn.now().as_millis() / 20 + 20;
+    assert!((idle as u128) < most, "{idle} idle turns in {:?}", turn.now());
+    println!("took {all}");
+}
+
+fn in_a_process_of_few_descriptors() {
+    use std::io::{BufRead, BufReader};
+    use std::process::{Command, Stdio};
+    let itself = std::env::current_exe().unwrap();
+    let script = "ulimit -n 32; exec \"$0\" --exact tests::a_listener_without_descriptors_rests --nocapture";
+    let mut child = Command::new("/bin/sh")
+        .args(["-c", script])
+        .arg(itself)
+        .env("RUNLOOM_TURN_SHORT", ANY)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines().map(Result::unwrap);
+    let at = lines.find_map(|l| Some(l.split("listens at ").nth(1)?.to_string())).expect("it listens");
+    let peers: Vec<TcpStream> = (0..64).map(|_| TcpStream::connect(&at).unwrap()).collect();
+    let said: Vec<String> = lines.collect();
+    assert!(child.wait().unwrap().success(), "{said:?}");
+    assert!(said.iter().any(|l| l.contains("took 64")), "{said:?}");
+    drop(peers);
+}
