Who closes its own half of a connection gets the answers it is owed

Seen: a client that sends PING and closes its writing half (as `nc -N` does) got no PONG, though the protocol owes one on any connection.

Cause: `ready` of turn/src/lib.rs forgot the connection at the end of what it read, in the same turn and before the core had answered; the write then found no connection.

Change: such a connection is told as closed, once, and kept to the next turn for what is still written to it; what waits then has a second. Plain connections only. Nothing else is said to it: a stream has left by its end.

--- a/turn/src/lib.rs
+++ b/turn/src/lib.rs
@@ -126,6 +126,8 @@
     next: Conn,
     start: Instant,
     swept: Duration,
+    /// Ended by the other side in the last turn; what was written since still goes out.
+    parting: Vec<Conn>,
     /// Ended outside of reading: told with the next turn.
     told: Vec<Happened>,
     busy_since: Option<Instant>,
@@ -165,6 +167,7 @@
             next: 0,
             start: Instant::now(),
             swept: Duration::ZERO,
+            parting: Vec::new(),
             told: Vec::new(),
             busy_since: None,
             // Up to a minute, two digits: a turn that long is a defect all the same.
@@ -340,10 +343,25 @@
     }
 
     fn close(&mut self, conn: Conn, why: Why) {
-        if self.lines.contains_key(&conn) {
-            self.forget(conn);
+        let Some(line) = self.lines.get(&conn) else { return };
+        // Of one that the other side ended this has been told.
+        if !line.ended {
             self.told.push(Happened::Closed { conn, why });
         }
+        self.forget(conn);
+    }
+
+    /// Ends the connections that the other side ended in the last turn, once what was written to them is out.
+    fn part(&mut self, now: Duration) {
+        for conn in std::mem::take(&mut self.parting) {
+            match self.lines.get_mut(&conn) {
+                Some(line) if line.waiting() > 0 => {
+                    line.finish(now + LINGER);
+                    let _ = interest(&self.poller, conn, line);
+                }
+                _ => self.forget(conn),
+            }
+        }
     }
 
     fn flush(&mut self, conn: Conn) {
@@ -360,6 +378,7 @@
             self.lengths.saturating_record(since.elapsed().as_micros() as u64);
         }
         let now = self.now();
+        self.part(now);
         let rest = self.end_rests(now);
         let due = until.into_iter().chain(rest).fold(self.swept + SWEEP, Duration::min).saturating_sub(now);
         let patience = if self.told.is_empty() { due } else { Duration::ZERO };
@@ -411,10 +430,21 @@
             happened.push(Happened::Bytes { conn: id, bytes: outcome.bytes });
         }
         match outcome.ended {
+            // Half-closed: it may still read, and is owed the answers to what it sent.
+            Some(Why::Ended) if line.is_plain() && !line.is_finishing() => {
+                line.ended = true;
+                let _ = interest(&self.poller, id, line);
+                self.parting.push(id);
+                happened.push(Happened::Closed { conn: id, why: Why::Ended });
+            }
             Some(why) => {
+                let told = line.ended;
                 self.forget(id);
-                happened.push(Happened::Closed { conn: id, why });
+                if !told {
+                    happened.push(Happened::Closed { conn: id, why });
+                }
             }
+            None if line.ended && line.waiting() == 0 => self.forget(id),
             None => {
                 if let Some(line) = self.lines.get_mut(&id) {
                     let _ = interest(&self.poller, id, line);
--- a/turn/src/line.rs
+++ b/turn/src/line.rs
@@ -60,6 +60,8 @@
     connecting: bool,
     open: bool,
     pub held: bool,
+    /// The other side has ended it, and that was told.
+    pub ended: bool,
     out: Vec<u8>,
     written: usize,
     finish_by: Option<Duration>,
@@ -87,6 +89,7 @@
             connecting,
             open,
             held: false,
+            ended: false,
             out: Vec::new(),
             written: 0,
             finish_by: None,
@@ -136,7 +139,7 @@
     }
 
     pub fn wants_read(&self) -> bool {
-        !self.held && !self.connecting
+        !self.held && !self.connecting && !self.ended
     }
 
     pub fn wants_write(&self) -> bool {
@@ -176,7 +179,7 @@
                 outcome.opened = Some(None);
             }
         }
-        if event.readable && !self.held {
+        if event.readable && !self.held && !self.ended {
             self.read(now, &mut outcome);
         }
         if outcome.ended.is_none() {
--- a/turn/src/tests.rs
+++ b/turn/src/tests.rs
@@ -202,6 +202,36 @@
     assert_eq!(open, 2 * count, "both sides of each");
 }
 
+#[test]
+fn who_closes_its_own_half_gets_what_is_written_in_the_turn_of_its_end() {
+    let mut turn = Turn::new().unwrap();
+    let (_, at) = turn.listen(any(), Security::Plain, Bounds::default()).unwrap();
+    let mut peer = TcpStream::connect(at).unwrap();
+    peer.write_all(b"well?").unwrap();
+    peer.shutdown(std::net::Shutdown::Write).unwrap();
+    // The whole turn is taken in before anything is written, as by a shell whose core answers then.
+    let mut asked = Vec::new();
+    let ended = until(&mut turn, |_, h| match h {
+        Happened::Bytes { bytes, .. } => {
+            asked.extend_from_slice(bytes);
+            None
+        }
+        Happened::Closed { conn, why } => Some((*conn, *why)),
+        _ => None,
+    });
+    assert_eq!((asked.as_slice(), ended.1), (&b"well?"[..], Why::Ended));
+    turn.write(ended.0, b"well.");
+    let answer = std::thread::spawn(move || {
+        let mut answer = Vec::new();
+        peer.read_to_end(&mut answer).map(|_| answer)
+    });
+    // It is told once, and nothing of it is left.
+    while turn.is_open(ended.0) {
+        assert_eq!(turn.wait(Some(turn.now())).unwrap(), vec![]);
+    }
+    assert_eq!(answer.join().unwrap().unwrap(), b"well.");
+}
+
 /// In a process of its own, where few descriptors are left; plays nothing when it is called by itself.
 #[test]
 fn a_listener_without_descriptors_rests() {
