What a peer sent before its connection broke is told before the end

Seen: a peer that sends its last report and closes, while two messages are written to it in one turn, was told as broken and the report never (test what_a_peer_sent_before_it_broke_is_told_before_its_end, without the fix).

Cause: the first write is answered by a reset, the second fails, and `flush` of turn/src/lib.rs ended the connection with its input unread. Excluded: the read path, which tells what it read before the end already.

Change: before a connection ends by a failed write, a share of what came is read and told.

Conclusion: the test fails without the fix and passes with it.

--- a/turn/src/lib.rs
+++ b/turn/src/lib.rs
@@ -7,8 +7,8 @@
 mod tests;
 
 use hdrhistogram::Histogram;
-use line::Line;
 pub use line::Security;
+use line::{Line, Outcome};
 use polling::{Event, Events, PollMode, Poller};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::BTreeMap;
@@ -368,7 +368,15 @@
         let Some(line) = self.lines.get_mut(&conn) else { return };
         match line.flush() {
             Ok(()) => _ = interest(&self.poller, conn, line),
-            Err(why) => self.close(conn, why),
+            Err(why) => {
+                // What it sent before it broke counts: a last report behind which it closed, say.
+                let mut outcome = Outcome::default();
+                line.read(self.start.elapsed(), &mut outcome);
+                if !outcome.bytes.is_empty() {
+                    self.told.push(Happened::Bytes { conn, bytes: outcome.bytes });
+                }
+                self.close(conn, why);
+            }
         }
     }
 
--- a/turn/src/line.rs
+++ b/turn/src/line.rs
@@ -200,7 +200,8 @@
         }
     }
 
-    fn read(&mut self, now: Duration, outcome: &mut Outcome) {
+    /// Reads a share of what is there.
+    pub fn read(&mut self, now: Duration, outcome: &mut Outcome) {
         let mut buffer = [0u8; 16 << 10];
         // A share a turn; what is left keeps the socket ready.
         while outcome.bytes.len() < self.bounds.share && outcome.ended.is_none() {
--- a/turn/src/tests.rs
+++ b/turn/src/tests.rs
@@ -232,6 +232,30 @@
     assert_eq!(answer.join().unwrap().unwrap(), b"well.");
 }
 
+#[test]
+fn what_a_peer_sent_before_it_broke_is_told_before_its_end() {
+    let mut turn = Turn::new().unwrap();
+    let (_, at) = turn.listen(any(), Security::Plain, Bounds::default()).unwrap();
+    let mut peer = TcpStream::connect(at).unwrap();
+    let conn = until(&mut turn, |_, h| match h {
+        Happened::Open { conn, .. } => Some(*conn),
+        _ => None,
+    });
+    peer.write_all(b"last words").unwrap();
+    drop(peer);
+    // What is written now is answered by a reset, and the next write finds that out before anything is read.
+    while turn.is_open(conn) {
+        turn.write(conn, b"orders");
+    }
+    let mut told = Vec::new();
+    until(&mut turn, |_, h| {
+        told.push(h.clone());
+        matches!(h, Happened::Closed { .. }).then_some(())
+    });
+    let bytes = Happened::Bytes { conn, bytes: b"last words".to_vec() };
+    assert_eq!(told, vec![bytes, Happened::Closed { conn, why: Why::Broken }]);
+}
+
 /// In a process of its own, where few descriptors are left; plays nothing when it is called by itself.
 #[test]
 fn a_listener_without_descriptors_rests() {
