Discovery's watch is read to its end, asked again where unreadable, and followed when counted anew

Three faults of one state machine, now `platform/src/watching.rs`, free of sockets as the rest of the core; each fails its test over the built program without this change (run so). 1. At SIGHUP the old watch was cut with half of a line, or bytes not yet read, though what it wrote counts as told: a drain in it was heard of only if the new agent told it again. Lines at fault: `read_again`, `watch_again` of daemon/src/platform.rs. It is read on until it ends now, three seconds at most (the agent closes it after 1.5 s). 2. A line that could not be read was counted and left out; the next one raised the version held, and a drain in the first was never heard of (`line` of platform/src/lib.rs). What changed since the version held is asked for again, three times at most. 3. An agent whose versions are lower than the one held was not believed for good (`take` of platform/src/discovery.rs). An agent may lag, and what it tells late counts as told after 6 s: where nothing but older versions came for that long, the whole list is asked for and any version counts.

With it, in the same lines of the shell, two endings of its own: 4. A peer was late by the clock at the end of a turn, so that a planner that stood still (a log that is not read, in the test; a long turn under a clock of processor time) cut its watch and refused newcomers with their words unread. They are late by when the last look at the sockets began. 5. A file half written at SIGHUP left the planner with the old agent until the next signal; it is looked at again for 10 s. An address still held at the start ended the planner; it is tried again for 10 s, told once in the log.

--- a/daemon/src/platform.rs
+++ b/daemon/src/platform.rs
@@ -3,13 +3,15 @@
 
 use crate::{earliest, wall_ms};
 use runloom::interface::Found;
-use runloom_platform::discovery::{self, Watch};
+use runloom_platform::discovery;
 use runloom_platform::probe::{self, Ending, Probe};
 use runloom_platform::station::{Station, Told};
+use runloom_platform::watching::Watching;
 use runloom_platform::{Deed, Platform};
 use runloom_turn::{Bounds, Conn, Happened, Security, Turn};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::collections::{BTreeMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -28,14 +30,18 @@
 /// Bytes that may wait for a proxy that does not read: some hundred messages; the platform resets at as many.
 const UNREAD_MOST: usize = 128 << 10;
 
-/// The watch of discovery, or the wait for the next.
-struct Watching {
-    at: SocketAddr,
-    conn: Option<Conn>,
-    watch: Watch,
-    heard: bool,
-    /// When it is given up, or dialled.
-    due: Duration,
+/// A file that can't be read at SIGHUP may be half written: it is looked at again this often, for so long.
+const REREAD: Duration = Duration::from_millis(250);
+const REREAD_MOST: Duration = Duration::from_secs(10);
+/// The planner before this one may still hold the address: it is tried again this often, for so long. Who is
+/// not ready after thirty seconds has failed.
+const REBIND: Duration = Duration::from_millis(50);
+const REBIND_MOST: Duration = Duration::from_secs(10);
+
+/// The file could not be read at SIGHUP.
+struct Unread {
+    next: Duration,
+    until: Duration,
 }
 
 struct Shell {
@@ -44,6 +50,7 @@
     file: PathBuf,
     platform: Platform,
     watching: Watching,
+    unread: Option<Unread>,
     probes: BTreeMap<Conn, Probe>,
     /// Probes that wait for room.
     asked: VecDeque<(u64, SocketAddr)>,
@@ -69,7 +76,7 @@
     }
     let file = PathBuf::from(told("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?);
     let station = station(&file)?;
-    let mut shell = Shell::start(turn, file, &station)?;
+    let Some(mut shell) = Shell::start(turn, file, &station)? else { return Ok(()) };
     loop {
         if shell.step().map_err(|e| e.to_string())? {
             shell.tell_counts();
@@ -79,26 +86,56 @@
 }
 
 impl Shell {
-    fn start(mut turn: Turn, file: PathBuf, station: &Station) -> Result<Shell, String> {
+    /// `None`: a signal ended it before there was an address to listen on.
+    fn start(mut turn: Turn, file: PathBuf, station: &Station) -> Result<Option<Shell>, String> {
         let room = station.bounds.sockets.saturating_sub(OWN + probe::AT_ONCE + ACCEPTS);
         turn.accepts = ACCEPTS;
         let bounds = Bounds { unread: UNREAD_MOST, connections: usize::MAX, ..Bounds::default() };
-        let listener = turn.listen(station.listen, Security::Plain, bounds);
-        let (listener, at) = listener.map_err(|e| format!("{}: {e}", station.listen))?;
+        let mut told = Duration::ZERO;
+        let (listener, at) = loop {
+            match turn.listen(station.listen, Security::Plain, bounds) {
+                Ok(listener) => break listener,
+                Err(e) if e.kind() == ErrorKind::AddrInUse && turn.now() < REBIND_MOST => {
+                    if turn.now() >= told {
+                        tracing::warn!("{}: in use, tried again", station.listen);
+                        told = REBIND_MOST;
+                    }
+                    let until = turn.now() + REBIND;
+                    let happened = turn.wait(Some(until)).map_err(|e| e.to_string())?;
+                    if happened.iter().any(|h| matches!(h, Happened::Signal(SIGTERM | SIGINT))) {
+                        return Ok(None);
+                    }
+                }
+                Err(e) => return Err(format!("{}: {e}", station.listen)),
+            }
+        };
         let epoch = wall_ms().saturating_sub((turn.now() + BEFORE).as_millis() as u64);
         let platform = Platform::new(station, epoch, room);
         tracing::info!(name = station.name, %at, room, "started");
-        let watch = Watch::default();
-        let watching =
-            Watching { at: station.discovery, conn: None, watch, heard: false, due: Duration::ZERO };
+        let watching = Watching::new(station.discovery);
         let (probes, asked) = (BTreeMap::new(), VecDeque::new());
-        Ok(Shell { turn, listener, file, platform, watching, probes, asked, told: BEFORE })
+        Ok(Some(Shell {
+            turn,
+            listener,
+            file,
+            platform,
+            watching,
+            unread: None,
+            probes,
+            asked,
+            told: BEFORE,
+        }))
     }
 
     fn now(&self) -> Duration {
         self.turn.now() + BEFORE
     }
 
+    /// All that had come by then has been told: whoever is late by this time is late.
+    fn looked(&self) -> Duration {
+        self.turn.looked() + BEFORE
+    }
+
     fn tell_counts(&self) {
         let (streams, newcomers) = self.platform.connected();
         let servers = self.platform.servers();
@@ -107,23 +144,25 @@
 
     /// One turn; true: a signal ends the planner.
     fn step(&mut self) -> std::io::Result<bool> {
+        self.look_at_file();
         self.look_at_discovery();
         self.look_at_probes();
         if self.now() >= self.told + TOLD_EVERY {
             self.told = self.now();
             self.tell_counts();
         }
-        let deeds = self.platform.turn(self.now());
+        let deeds = self.platform.turn(self.now(), self.looked());
         deeds.into_iter().for_each(|deed| self.carry_out(deed));
         self.ask();
         self.turn.hold_listener(self.listener, self.platform.is_full());
         let probes = self.probes.values().map(|p| p.since + probe::PATIENCE).min();
-        let until = earliest([self.platform.wake(), Some(self.watching.due), probes]);
+        let unread = self.unread.as_ref().map(|unread| unread.next);
+        let until = earliest([self.platform.wake(), Some(self.watching.wake()), probes, unread]);
         let happened = self.turn.wait(until.map(|at| at.saturating_sub(BEFORE)))?;
         // A change of the list counts as told once it is written: it is taken ahead of all else.
         let of_discovery = |h: &Happened| match h {
             Happened::Open { conn, .. } | Happened::Bytes { conn, .. } | Happened::Closed { conn, .. } => {
-                Some(*conn) == self.watching.conn
+                self.watching.has(*conn)
             }
             Happened::Signal(_) => false,
         };
@@ -194,8 +233,8 @@
     }
 
     fn look_at_probes(&mut self) {
-        let now = self.now();
-        let late = |p: &Probe| now >= p.since + probe::PATIENCE;
+        let looked = self.looked();
+        let late = |p: &Probe| looked >= p.since + probe::PATIENCE;
         let late: Vec<(Conn, Ending)> =
             self.probes.iter().filter(|(_, p)| late(p)).map(|(conn, p)| (*conn, p.late())).collect();
         late.into_iter().for_each(|(conn, ending)| self.probed(conn, ending));
@@ -218,75 +257,93 @@
 
     /// Dials where there is no watch, and gives up one that is silent.
     fn look_at_discovery(&mut self) {
-        if self.now() < self.watching.due {
-            return;
+        let looked = self.looked();
+        if self.platform.is_counted_anew(looked) {
+            tracing::info!(at = %self.watching.at, "the list is counted anew");
+            self.ask_again();
         }
-        match self.watching.conn {
-            Some(_) => {
-                tracing::info!(at = %self.watching.at, "the watch is silent");
-                self.watch_again(Duration::ZERO);
-                self.look_at_discovery();
-            }
-            None => {
-                let due = self.now() + discovery::FIRST_WAIT;
-                let dialled = self.turn.dial(self.watching.at, &Security::Plain, Bounds::default());
-                let conn = dialled.ok();
-                if let Some(conn) = conn {
-                    let query = discovery::watch(&self.watching.at.to_string(), self.platform.revision());
-                    self.turn.write(conn, &query);
-                }
-                let due = if conn.is_some() { due } else { self.now() + discovery::REDIAL };
-                self.watching =
-                    Watching { at: self.watching.at, conn, watch: Watch::default(), heard: false, due };
+        for conn in self.watching.late(looked) {
+            tracing::info!(at = %self.watching.at, "the watch is silent");
+            self.turn.cut(conn);
+        }
+        let now = self.now();
+        if self.watching.is_to_dial(now) {
+            let at = self.watching.at;
+            let conn = self.turn.dial(at, &Security::Plain, Bounds::default()).ok();
+            if let Some(conn) = conn {
+                self.turn.write(conn, &discovery::watch(&at.to_string(), self.platform.revision()));
             }
+            self.watching.dialled(conn, now);
         }
     }
 
-    /// Ends the watch; the next is dialled after a while.
-    fn watch_again(&mut self, after: Duration) {
-        if let Some(conn) = self.watching.conn.take() {
+    fn ask_again(&mut self) {
+        if let Some(conn) = self.watching.ask_again(self.now()) {
             self.turn.cut(conn);
         }
-        self.watching.due = self.now() + after;
     }
 
     fn discovery(&mut self, happened: Happened) {
+        let (now, at) = (self.now(), self.watching.at);
         match happened {
-            Happened::Bytes { bytes, .. } => {
-                self.watching.due = self.now() + discovery::SILENCE_MOST;
-                match self.watching.watch.push(&bytes) {
-                    Ok(lines) => lines.iter().for_each(|line| self.platform.line(line)),
-                    Err(discovery::Unreadable) => {
-                        tracing::info!(at = %self.watching.at, "the watch can't be read");
-                        self.watch_again(discovery::REDIAL);
-                    }
+            Happened::Bytes { conn, bytes } => {
+                let brought = self.watching.bytes(conn, &bytes, now);
+                let read = brought.lines.iter().try_for_each(|line| self.platform.line(line, now));
+                if brought.first {
+                    tracing::info!(%at, "watching");
+                }
+                if brought.unreadable || read.is_err() {
+                    tracing::info!(%at, "the watch can't be read");
                 }
-                if !self.watching.heard && self.watching.conn.is_some() {
-                    self.watching.heard = true;
-                    tracing::info!(at = %self.watching.at, "watching");
+                if brought.cut {
+                    self.turn.cut(conn);
                 }
-                if self.watching.watch.is_over() {
-                    self.watch_again(discovery::REDIAL);
+                if read.is_err() {
+                    self.ask_again();
                 }
             }
-            Happened::Closed { why, .. } => {
-                tracing::info!(at = %self.watching.at, ?why, "the watch has ended");
-                self.watch_again(discovery::REDIAL);
+            Happened::Closed { conn, why } => {
+                tracing::info!(%at, ?why, "the watch has ended");
+                self.watching.closed(conn, now);
             }
             Happened::Open { .. } | Happened::Signal(_) => {}
         }
     }
 
+    /// Reads the file once more where it could not be read.
+    fn look_at_file(&mut self) {
+        let now = self.now();
+        if let Some(unread) = self.unread.take_if(|unread| now >= unread.next) {
+            match station(&self.file) {
+                Ok(station) => self.take(&station),
+                Err(_) if now < unread.until => self.unread = Some(Unread { next: now + REREAD, ..unread }),
+                Err(why) => tracing::warn!("not looked at any more: {why}"),
+            }
+        }
+    }
+
     /// Reads the file again. What can't be read is told, and all goes on as it is.
     fn read_again(&mut self) {
+        let now = self.now();
+        self.unread = None;
         match station(&self.file) {
-            Err(why) => tracing::warn!("kept as it is: {why}"),
-            Ok(station) if station.discovery != self.watching.at => {
-                tracing::info!(at = %station.discovery, "discovery has moved");
-                self.watching.at = station.discovery;
-                self.watch_again(Duration::ZERO);
+            Ok(station) => self.take(&station),
+            Err(why) => {
+                tracing::warn!("kept as it is: {why}");
+                self.unread = Some(Unread { next: now + REREAD, until: now + REREAD_MOST });
             }
-            Ok(_) => tracing::info!("read again, nothing new"),
+        }
+    }
+
+    /// Takes what of a new file counts while the planner runs: where discovery is.
+    fn take(&mut self, station: &Station) {
+        if station.discovery == self.watching.at {
+            tracing::info!("read again, nothing new");
+            return;
+        }
+        tracing::info!(at = %station.discovery, "discovery has moved");
+        if let Some(conn) = self.watching.moved(station.discovery, self.now()) {
+            self.turn.cut(conn);
         }
     }
 }
