--- a/turn/src/lib.rs
+++ b/turn/src/lib.rs
@@ -126,6 +126,7 @@
     next: Conn,
     start: Instant,
     swept: Duration,
+    looked: Duration,
     /// Ended by the other side in the last turn; what was written since still goes out.
     parting: Vec<Conn>,
     /// Ended outside of reading: told with the next turn.
@@ -167,6 +168,7 @@
             next: 0,
             start: Instant::now(),
             swept: Duration::ZERO,
+            looked: Duration::ZERO,
             parting: Vec::new(),
             told: Vec::new(),
             busy_since: None,
@@ -183,6 +185,12 @@
         self.start.elapsed()
     }
 
+    /// When the last look at the sockets began. What had come by then has been told, a share of each connection
+    /// a turn; so a peer is late only by this time, and not by a clock that went on while nobody looked.
+    pub fn looked(&self) -> Duration {
+        self.looked
+    }
+
     pub fn waker(&self) -> Waker {
         Waker(self.poller.clone())
     }
@@ -391,6 +399,7 @@
         let due = until.into_iter().chain(rest).fold(self.swept + SWEEP, Duration::min).saturating_sub(now);
         let patience = if self.told.is_empty() { due } else { Duration::ZERO };
         self.events.clear();
+        self.looked = now;
         match self.poller.wait(&mut self.events, Some(patience)) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
@@ -503,7 +512,7 @@
 
     fn sweep(&mut self) {
         self.swept = self.now();
-        let late = |(conn, line): (&Conn, &Line)| line.late(self.swept).map(|why| (*conn, why));
+        let late = |(conn, line): (&Conn, &Line)| line.late(self.looked).map(|why| (*conn, why));
         let late: Vec<(Conn, Why)> = self.lines.iter().filter_map(late).collect();
         late.into_iter().for_each(|(conn, why)| self.close(conn, why));
     }
