--- /dev/null
+++ b/daemon/tests/help/mod.rs
@@ -0,0 +1,260 @@
+//! Stand-ins for what is round a planner on the platform, and the built program among them.
+
+// Each file of tests uses its part.
+#![allow(dead_code)]
+
+use runloom_platform::frame::{write, Reader, MESSAGE_MOST};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::time::Duration;
+
+/// Longer than anything here takes on any machine: verdicts go by order and counts.
+pub const LONG: Duration = Duration::from_secs(60);
+
+pub fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    (listener, at)
+}
+
+pub fn head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") && stream.read(&mut byte).unwrap_or(0) == 1 {
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).unwrap()
+}
+
+/// Discovery: tells the path of each watch, and writes the lines it is given to the newest.
+pub fn discovery() -> (SocketAddr, Receiver<String>, Sender<Value>) {
+    let (listener, at) = listen();
+    let (told, paths) = channel();
+    let (lines, given) = channel::<Value>();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let path = head(&mut stream).split(' ').nth(1).unwrap_or_default().to_string();
+            stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+            let _ = told.send(path);
+            loop {
+                let line = match given.recv_timeout(Duration::from_millis(500)) {
+                    Ok(line) => format!("{line}\n"),
+                    Err(std::sync::mpsc::RecvTimeoutError::Timeout) => "\n".into(),
+                    Err(_) => return,
+                };
+                // In two pieces, as on a bad way.
+                let chunk = format!("{:x}\r\n{line}\r\n", line.len());
+                let (a, b) = chunk.split_at(chunk.len() / 2);
+                if stream.write_all(a.as_bytes()).and_then(|()| stream.write_all(b.as_bytes())).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    (at, paths, lines)
+}
+
+/// A server that answers every probe, and tells of each.
+pub fn server() -> (SocketAddr, Receiver<String>) {
+    let (listener, at) = listen();
+    let (told, probes) = channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let _ = told.send(head(&mut stream));
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{\"queue\":1}");
+        }
+    });
+    (at, probes)
+}
+
+pub fn member(id: &str, at: SocketAddr, phase: &str) -> Value {
+    json!({"id": id, "host_port": at.to_string(), "locality": "a", "flavor": "m", "cell": 0, "phase": phase,
+        "size": 1.0, "up_since_ms": 0})
+}
+
+pub fn list(revision: u64, members: &[Value]) -> Value {
+    json!({"revision": revision, "complete": false, "members": members})
+}
+
+pub fn station(discovery: SocketAddr, server: SocketAddr) -> Value {
+    let members: Vec<Value> = ["s-1", "s-2", "s-3"].iter().map(|id| member(id, server, "SERVING")).collect();
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 256},
+        "known": {"revision": 41, "complete": true, "members": members},
+        "settings": {"balancers": 1, "classes": [{"name": "lookup", "aimS": 0.5, "credit": 1.0}],
+            "familyInfo": {"backlog": 4000.0, "channelRate": 2000.0, "overhead": 4.0, "proxies": 4,
+                "levelKind": "none"},
+            "limits": {"probing": true}, "stats": {"fields": ["q"], "how": "answers"}, "zones": ["a"],
+            "rules": {"drainGraceS": 2.0, "coldFrom": 0.5, "warmAfterS": 1.0}}})
+}
+
+/// Where a planner listens, by its first line.
+pub fn address_told(line: &str) -> SocketAddr {
+    let at = line.split("at=").nth(1).and_then(|rest| rest.split_whitespace().next());
+    at.and_then(|at| at.parse().ok()).expect(line)
+}
+
+pub struct Planner {
+    pub child: Child,
+    pub at: SocketAddr,
+    pub file: PathBuf,
+    log: Receiver<String>,
+}
+
+impl Planner {
+    /// Starts it, and waits until it listens.
+    pub fn start(name: &str, station: &Value) -> Planner {
+        let mut planner = Planner::spawn(name, station);
+        planner.listens();
+        planner
+    }
+
+    /// Starts it while this listener holds its address, which is given up once it was found so.
+    pub fn start_held(name: &str, station: &Value, held: TcpListener) -> Planner {
+        let mut planner = Planner::spawn(name, station);
+        planner.until_told("in use");
+        drop(held);
+        planner.listens();
+        planner
+    }
+
+    pub fn spawn(name: &str, station: &Value) -> Planner {
+        let mut planner = Planner::spawn_with(name, station, Stdio::piped());
+        let stderr = planner.child.stderr.take().unwrap();
+        planner.read_log(stderr);
+        planner
+    }
+
+    /// Reads the log on, so that it never stops the planner.
+    pub fn read_log(&mut self, log: impl Read + Send + 'static) {
+        let (told, log_lines) = channel();
+        let lines = BufReader::new(log).lines();
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|line| _ = told.send(line)));
+        self.log = log_lines;
+    }
+
+    pub fn spawn_with(name: &str, station: &Value, log: Stdio) -> Planner {
+        let file = std::env::temp_dir().join(format!("runloom-platform-{name}-{}.json", std::process::id()));
+        std::fs::write(&file, station.to_string()).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_runloom"))
+            .arg("platform")
+            .env("EDGE_CONFIG", &file)
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        Planner { child, at: SocketAddr::from(([127, 0, 0, 1], 0)), file, log: channel().1 }
+    }
+
+    fn listens(&mut self) {
+        let line = self.until_told("started");
+        self.at = address_told(&line);
+    }
+
+    /// Reads the log until a line has this.
+    pub fn until_told(&self, part: &str) -> String {
+        loop {
+            let line = self.log.recv_timeout(LONG).expect("the log goes on");
+            if line.contains(part) {
+                return line;
+            }
+        }
+    }
+
+    /// Stops it where it is, and waits until it stands.
+    pub fn stop(&self) {
+        self.signal("STOP");
+        let file = format!("/proc/{}/stat", self.child.id());
+        let stands = || std::fs::read_to_string(&file).unwrap().split(") ").nth(1).unwrap().starts_with('T');
+        while !stands() {
+            std::thread::yield_now();
+        }
+    }
+
+    /// The descriptors that it holds now.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// The most memory that it has held.
+    pub fn peak_kib(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let peak = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        peak.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let kill = format!("kill -{signal} {}", self.child.id());
+        assert!(Command::new("/bin/sh").args(["-c", &kill]).status().unwrap().success());
+    }
+}
+
+impl Drop for Planner {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub reader: Reader,
+}
+
+impl Client {
+    pub fn open(planner: &Planner, first: &[Value]) -> Client {
+        let stream = TcpStream::connect(planner.at).unwrap();
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        let mut client = Client { stream, reader: Reader::new(MESSAGE_MOST) };
+        client.say(first);
+        client
+    }
+
+    pub fn say(&mut self, messages: &[Value]) {
+        let mut bytes = Vec::new();
+        messages.iter().for_each(|m| write(&mut bytes, m.to_string().as_bytes()));
+        self.stream.write_all(&bytes).unwrap();
+    }
+
+    /// The next message; `None`: the planner closed the connection.
+    pub fn next(&mut self) -> Option<Value> {
+        let mut buffer = [0; 4096];
+        loop {
+            if let Some(message) = self.reader.next_message().unwrap() {
+                return Some(message);
+            }
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return None,
+                Ok(n) => self.reader.push(&buffer[..n]),
+                Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(e) => panic!("nothing came: {e}"),
+            }
+        }
+    }
+
+    /// Reads orders, answers their marks, until one sets this line.
+    pub fn until_row(&mut self, id: u64, row: Value) -> Vec<Value> {
+        let mut read = Vec::new();
+        loop {
+            let order = self.next().expect("the stream goes on");
+            if let Some(stamp) = order["stamp"].as_u64() {
+                self.say(&[json!({"t": "ACK", "id": id, "seq": stamp, "ms": 5.0})]);
+            }
+            let found = order["rows"].as_array().is_some_and(|rows| rows.contains(&row));
+            read.push(order);
+            if found {
+                return read;
+            }
+        }
+    }
+}
+
+pub fn joining(id: u64, new: bool) -> Value {
+    json!({"t": "SUBSCRIBE", "id": id, "site": "a", "rps": 3.0, "new": new})
+}
