A level that cuts nothing leaves room for chance at proxies with little to do

Cause: `levels` of src/logic.rs leaves a fifth above the busiest proxy's pace. At 0.3 queries a second two in one second are chance, no surge. Excluded: the cut itself (`even_level` gave none), servers (0.2 s in the middle).

Change: two queries a second above the pace at least. Where a proxy gets ten a second or more, the fifth is more and holds as before; what has to be cut is cut as before.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -581,7 +581,9 @@
             let part = rest.max(all * 0.05);
             // One pace for every proxy binds the busy ones until the sum fits; else, room for a fifth more.
             let most = came.iter().copied().reduce(f64::max);
-            levels[class].0 = even_level(came, part).or(most.map(|most| most * 1.2));
+            // A proxy with little to do gets two queries more in a second by chance.
+            let open = most.map(|most| (most * 1.2).max(most + 2.0));
+            levels[class].0 = even_level(came, part).or(open);
             rest = (rest - all).max(0.0);
         }
         levels
--- a/src/logic/tests.rs
+++ b/src/logic/tests.rs
@@ -433,6 +433,18 @@
     assert_eq!(planner.levels()[1].0, Some(20.0));
 }
 
+#[test]
+fn a_level_that_cuts_nothing_leaves_room_for_chance_at_idle_proxies() {
+    let mut planner = leveled(vec![well(0)]);
+    planner.proxies = [0.1, 0.3].map(|pace| Joined { came: vec![pace, pace], ..proxy(Some(0)) }).into();
+    planner.gate.limit = Some(25.0);
+    // Guards against two queries in one second refused at a fleet with nothing to do.
+    assert!(planner.levels().iter().all(|(level, _)| level.is_some_and(|l| (2.0..3.0).contains(&l))));
+    // What has to be cut is cut as before.
+    planner.gate.limit = Some(0.2);
+    assert!(planner.levels()[0].0.is_some_and(|level| level < 0.3));
+}
+
 #[test]
 fn further_tries_are_cut_before_any_level() {
     let mut planner = leveled(vec![well(0)]);
