--- a/daemon/tests/endings.rs
+++ b/daemon/tests/endings.rs
@@ -128,6 +128,25 @@
     assert_eq!(asked_new.recv_timeout(LONG).unwrap().0, since(41));
 }
 
+#[test]
+fn of_two_signals_at_once_the_last_file_holds() {
+    let (server, _probes) = server();
+    let (old, asked_old) = agent();
+    let (between, asked_between) = agent();
+    let (new, asked_new) = agent();
+    let planner = Planner::start("twice", &station(old, server));
+    let (_, mut watch) = asked_old.recv_timeout(LONG).unwrap();
+    watch.write_all(WATCH).unwrap();
+    planner.stop();
+    for at in [between, new] {
+        std::fs::write(&planner.file, station(at, server).to_string()).unwrap();
+        planner.signal("HUP");
+    }
+    planner.signal("CONT");
+    assert_eq!(asked_new.recv_timeout(LONG).unwrap().0, since(41));
+    assert!(asked_between.try_recv().is_err());
+}
+
 #[test]
 fn a_line_that_cannot_be_read_is_asked_for_again() {
     let (server, _probes) = server();
