Columnar segments carry a checksum: a changed byte is an error, not other entries

What callers saw: `runloom replay` and `record` on a segment with one changed byte panicked in the Parquet library, or replayed other entries as if they were true.

Parquet's page checksums would cover neither the footer nor the page headers, and are found only by decoding those.

Change: a CRC-32 of the complete file stands between the magic number and the first column, where readers of Parquet don't look; it is compared before anything is decoded. A key in the footer tells a damaged marker from a file of an earlier build. Files without a checksum stay readable: page sizes are bounded before the library allocates them, columns are compared with entries, a panic becomes an error in columns::panic_containment alone, and `record ls` and `verify` say "not verified: it has no checksum".

--- a/crates/daemon/src/commands/record.rs
+++ b/crates/daemon/src/commands/record.rs
@@ -1,7 +1,7 @@
 //! `runloom record`: prints a planner's event log.
 
 use super::error::{file_error, CommandError};
-use runloom_event_log::columns::EntryTotals;
+use runloom_event_log::columns::{EntryTotals, Integrity};
 use runloom_event_log::{list_segments, read_segment, Entry, Segment, SegmentContent};
 use std::io::{self, Write};
 use std::path::Path;
@@ -90,9 +90,13 @@
         0 => String::new(),
         bytes => format!(", a torn tail of {bytes} bytes left out"),
     };
+    let integrity = match content.integrity {
+        Integrity::Verified => "",
+        Integrity::Unverified => ", not verified: it has no checksum",
+    };
     writeln!(
         out,
-        "{:08} {kind} {} bytes, {} entries, {from:.1} to {to:.1} s{tail}",
+        "{:08} {kind} {} bytes, {} entries, {from:.1} to {to:.1} s{tail}{integrity}",
         segment.number,
         segment.size,
         entries.len()
--- a/crates/event-log/src/columns.rs
+++ b/crates/event-log/src/columns.rs
@@ -1,16 +1,21 @@
 //! Closed segments as Parquet: a row for each entry, with columns that other tools can query, and the entry itself.
 
+mod checksum;
+mod page_header;
+mod panic_containment;
+mod reading;
+
+pub use reading::{read, read_content, ColumnarContent, Integrity};
+
 use crate::entry::{Entry, RecordedEvent, OLDEST_VERSION, VERSION};
 use parquet::basic::Compression;
 use parquet::column::writer::ColumnWriter;
 use parquet::data_type::ByteArray;
 use parquet::file::metadata::KeyValue;
 use parquet::file::properties::WriterProperties;
-use parquet::file::reader::{ChunkReader, FileReader, SerializedFileReader};
 use parquet::file::writer::SerializedFileWriter;
-use parquet::record::RowAccessor;
 use parquet::schema::parser::parse_message_type;
-use std::io::Write;
+use std::io::{self, Write};
 use std::sync::Arc;
 
 /// `at` is in microseconds since the planner's start; `queries`, `failed` and `lines` are the [`EntryTotals`];
@@ -49,6 +54,11 @@
 
 /// Key of the version in a file's metadata.
 const VERSION_KEY: &str = "runloom.version";
+/// Key of the kind of checksum in a file's metadata. Without it, a file whose checksum is damaged beyond recognition
+/// would pass for one of an earlier build.
+const CHECKSUM_KEY: &str = "runloom.checksum";
+/// CRC-32 (IEEE) of all bytes but its own four.
+const CHECKSUM_KIND: &str = "crc32";
 
 /// A columnar file that cannot be read or written.
 #[derive(Debug, thiserror::Error)]
@@ -56,6 +66,40 @@
     /// The file is not Parquet of the expected schema.
     #[error("{0}")]
     Parquet(#[from] parquet::errors::ParquetError),
+    /// Its bytes are not those that were written.
+    #[error("it is damaged: its checksum is {stored:08x}, that of its bytes is {computed:08x}")]
+    Checksum {
+        /// The checksum in the file.
+        stored: u32,
+        /// The checksum of its bytes.
+        computed: u32,
+    },
+    /// It was written with a checksum, which is not there.
+    #[error("it is damaged: its checksum is missing")]
+    ChecksumMissing,
+    /// A page claims a size that cannot be.
+    #[error("it is damaged: a page header has an impossible size")]
+    PageSize,
+    /// It has another number of rows than it says.
+    #[error("it is damaged: it has {found} rows of {expected}")]
+    RowCount {
+        /// The number in its metadata.
+        expected: i64,
+        /// The rows that were read.
+        found: usize,
+    },
+    /// The columns of a row contradict its entry.
+    #[error("it is damaged: the columns of row {row} contradict its entry")]
+    Inconsistent {
+        /// The row, from 0.
+        row: usize,
+    },
+    /// The Parquet library panicked.
+    #[error("it is damaged: the decoder gave up: {0}")]
+    DecoderPanicked(String),
+    /// It could not be written.
+    #[error(transparent)]
+    Io(#[from] io::Error),
     /// An entry in it is corrupt.
     #[error("an entry cannot be read: {0}")]
     Entry(#[from] postcard::Error),
@@ -93,10 +137,17 @@
     }
 }
 
-/// Writes entries as one file.
-pub fn write(entries: &[Entry], out: impl Write + Send) -> Result<(), ColumnError> {
+/// Writes entries as one file, with a checksum.
+pub fn write(entries: &[Entry], mut out: impl Write + Send) -> Result<(), ColumnError> {
+    out.write_all(&encode(entries)?)?;
+    Ok(())
+}
+
+fn encode(entries: &[Entry]) -> Result<Vec<u8>, ColumnError> {
     let schema = Arc::new(parse_message_type(SCHEMA)?);
-    let mut writer = SerializedFileWriter::new(out, schema, Arc::new(properties()))?;
+    let mut file = Vec::new();
+    let mut writer = SerializedFileWriter::new(&mut file, schema, Arc::new(properties()))?;
+    writer.write_all(&checksum::placeholder())?;
     let mut group = writer.next_row_group()?;
     let payloads = entries.iter().map(postcard::to_stdvec).collect::<Result<Vec<_>, _>>()?;
     let mut columns = COLUMNS.iter();
@@ -115,14 +166,16 @@
     }
     group.close()?;
     writer.close()?;
-    Ok(())
+    checksum::seal(&mut file);
+    Ok(file)
 }
 
 fn properties() -> WriterProperties {
     let version = KeyValue { key: VERSION_KEY.into(), value: Some(VERSION.to_string()) };
+    let checksum = KeyValue { key: CHECKSUM_KEY.into(), value: Some(CHECKSUM_KIND.into()) };
     WriterProperties::builder()
         .set_compression(Compression::SNAPPY)
-        .set_key_value_metadata(Some(vec![version]))
+        .set_key_value_metadata(Some(vec![version, checksum]))
         .build()
 }
 
@@ -146,19 +199,3 @@
         _ => payloads.iter().map(|payload| ByteArray::from(payload.clone())).collect(),
     }
 }
-
-/// Reads a file that [`write()`] wrote.
-pub fn read(file: impl ChunkReader + 'static) -> Result<Vec<Entry>, ColumnError> {
-    let reader = SerializedFileReader::new(file)?;
-    let metadata = reader.metadata().file_metadata().key_value_metadata().cloned().unwrap_or_default();
-    let version = metadata.into_iter().find(|pair| pair.key == VERSION_KEY).and_then(|pair| pair.value);
-    let number = version.as_deref().and_then(|version| version.parse().ok());
-    if !number.is_some_and(|number| (OLDEST_VERSION..=VERSION).contains(&number)) {
-        return Err(ColumnError::Version(version.unwrap_or_else(|| "unknown".into())));
-    }
-    let mut entries = Vec::new();
-    for row in reader.get_row_iter(None)? {
-        entries.push(postcard::from_bytes(row?.get_bytes(Column::Entry as usize)?.data())?);
-    }
-    Ok(entries)
-}
--- a/crates/event-log/src/segment.rs
+++ b/crates/event-log/src/segment.rs
@@ -1,8 +1,9 @@
 //! Segments of a log: files named by number, either journals or columnar.
 
+use crate::columns::{self, ColumnarContent, Integrity};
 use crate::entry::Entry;
 use crate::error::ReadError;
-use crate::{columns, framing};
+use crate::framing;
 use std::fs::{self, File};
 use std::io::{self, Read};
 use std::path::{Path, PathBuf};
@@ -34,6 +35,8 @@
     pub entries: Vec<Entry>,
     /// Bytes at the end of a journal that are no complete entry.
     pub torn_bytes: usize,
+    /// Whether the entries are known to be as they were written.
+    pub integrity: Integrity,
 }
 
 /// The file of a journal.
@@ -75,17 +78,21 @@
     let io_error = |e| ReadError::Io(segment.path.clone(), e);
     let mut file = File::open(&segment.path).map_err(io_error)?;
     if segment.is_columnar {
-        let entries = read_columns(&segment.path, file)?;
-        return Ok(SegmentContent { entries, torn_bytes: 0 });
+        let ColumnarContent { entries, integrity } = read_columns(&segment.path, file)?;
+        return Ok(SegmentContent { entries, torn_bytes: 0, integrity });
     }
     let mut bytes = Vec::new();
     file.read_to_end(&mut bytes).map_err(io_error)?;
     let journal = framing::decode_journal(&bytes).map_err(|e| ReadError::Journal(segment.path.clone(), e))?;
-    Ok(SegmentContent { entries: journal.entries, torn_bytes: journal.torn_bytes })
+    Ok(SegmentContent {
+        entries: journal.entries,
+        torn_bytes: journal.torn_bytes,
+        integrity: Integrity::Verified,
+    })
 }
 
-fn read_columns(path: &Path, file: File) -> Result<Vec<Entry>, ReadError> {
-    columns::read(file).map_err(|e| ReadError::Columns(path.to_path_buf(), e))
+fn read_columns(path: &Path, file: File) -> Result<ColumnarContent, ReadError> {
+    columns::read_content(file).map_err(|e| ReadError::Columns(path.to_path_buf(), e))
 }
 
 /// Reads a segment of a running planner, which may have made it columnar, or removed it for its age, since the
@@ -96,7 +103,7 @@
         Err(ReadError::Io(path, e)) if e.kind() == io::ErrorKind::NotFound => {
             let path = columnar_path(&path);
             match File::open(&path) {
-                Ok(file) => read_columns(&path, file).map(Some),
+                Ok(file) => Ok(Some(read_columns(&path, file)?.entries)),
                 Err(_) => Ok(None),
             }
         }
