--- a/crates/daemon/src/commands/error.rs
+++ b/crates/daemon/src/commands/error.rs
@@ -72,7 +72,7 @@
         count: usize,
     },
     /// Segments of an event log are corrupt.
-    #[error("{count} segments cannot be read")]
+    #[error("{count} segments are damaged or cannot be read")]
     CorruptSegments {
         /// Their number.
         count: usize,
--- a/crates/daemon/src/commands/record.rs
+++ b/crates/daemon/src/commands/record.rs
@@ -37,7 +37,10 @@
     let mut corrupt = 0;
     for segment in list_segments(folder).map_err(file_error(folder))? {
         match read_segment(&segment) {
-            Ok(content) => write_segment(&segment, &content, view, out)?,
+            Ok(content) => {
+                corrupt += usize::from(content.damaged_bytes > 0);
+                write_segment(&segment, &content, view, out)?;
+            }
             Err(error) => {
                 corrupt += 1;
                 writeln!(out, "{error}")?;
@@ -90,13 +93,17 @@
         0 => String::new(),
         bytes => format!(", a torn tail of {bytes} bytes left out"),
     };
+    let damage = match content.damaged_bytes {
+        0 => String::new(),
+        bytes => format!(", {bytes} damaged bytes passed over"),
+    };
     let integrity = match content.integrity {
         Integrity::Verified => "",
         Integrity::Unverified => ", not verified: it has no checksum",
     };
     writeln!(
         out,
-        "{:08} {kind} {} bytes, {} entries, {from:.1} to {to:.1} s{tail}{integrity}",
+        "{:08} {kind} {} bytes, {} entries, {from:.1} to {to:.1} s{damage}{tail}{integrity}",
         segment.number,
         segment.size,
         entries.len()
--- a/crates/daemon/src/planner_runtime/event_recording.rs
+++ b/crates/daemon/src/planner_runtime/event_recording.rs
@@ -2,7 +2,7 @@
 
 use crate::config_service::ConfigService;
 use runloom_control_session::ControlSession;
-use runloom_event_log::{RecordedEvent, Recorder, RecorderConfig, Writer};
+use runloom_event_log::{ConversionError, RecordedEvent, Recorder, RecorderConfig, Writer};
 use runloom_model::planner_settings::PlannerSettings;
 use std::io;
 use std::time::Duration;
@@ -63,16 +63,23 @@
             tracing::info!(lost = status.lost_entries, "recording goes on");
         }
         self.is_stopped = is_stopped;
+        log_conversion_errors(writer.take_conversion_errors());
     }
 
     /// Writes what is buffered, and ends the log.
     pub(super) fn finish(&mut self) {
         if let Some(writer) = self.writer.take() {
-            writer.finish();
+            log_conversion_errors(writer.finish());
         }
     }
 }
 
+fn log_conversion_errors(errors: Vec<ConversionError>) {
+    for error in errors {
+        tracing::error!(why = %error, "a journal of the record stays as it is");
+    }
+}
+
 /// Adds an event that the decisions are not told of to the log of the iteration.
 pub(super) fn note_event(control: &mut ControlSession, now: Duration, event: RecordedEvent) {
     if let Some(recorded_events) = &mut control.recorded_events {
--- a/crates/event-log/src/framing.rs
+++ b/crates/event-log/src/framing.rs
@@ -1,6 +1,6 @@
 //! The form of a journal: a header, then frames of length, checksum and entry. Free of I/O.
 
-use crate::entry::{Entry, OLDEST_VERSION, VERSION};
+use crate::entry::{Entry, RecordedEvent, OLDEST_VERSION, VERSION};
 
 /// The first bytes of a journal; the version follows.
 const MAGIC: &[u8; 8] = b"runlrec\n";
@@ -35,6 +35,17 @@
     pub torn_bytes: usize,
 }
 
+/// What stands behind the first frame of a journal that cannot be read.
+#[derive(Debug, Default, PartialEq)]
+pub struct RecoveredFrames {
+    /// The entries of the readable frames; each damaged place is an [`RecordedEvent::EntriesLost`] of an unknown number.
+    pub entries: Vec<Entry>,
+    /// Bytes of the damaged places.
+    pub damaged_bytes: usize,
+    /// Bytes at the end that are the beginning of a frame: its writer was killed.
+    pub torn_bytes: usize,
+}
+
 /// The header of a journal.
 pub fn header() -> Vec<u8> {
     let mut out = MAGIC.to_vec();
@@ -79,6 +90,49 @@
     Ok(journal)
 }
 
+/// Finds the readable frames in what follows the last entry of [`decode_journal`], at `previous_at_us`.
+///
+/// A damaged length leaves no trace of where the next frame begins, so each byte is tried. A frame is one only if its
+/// checksum is right.
+pub fn recover_frames(bytes: &[u8], previous_at_us: u64) -> RecoveredFrames {
+    let mut recovered = RecoveredFrames::default();
+    let mut at_us = previous_at_us;
+    let mut rest = bytes;
+    while !rest.is_empty() {
+        if let Some((entry, size)) = decode_frame(rest) {
+            at_us = entry.at_us;
+            recovered.entries.push(entry);
+            rest = &rest[size..];
+            continue;
+        }
+        let next = find_frame(rest);
+        if next.is_none() && is_beginning_of_frame(rest) {
+            recovered.torn_bytes = rest.len();
+            break;
+        }
+        let damaged_bytes = next.unwrap_or(rest.len());
+        recovered.damaged_bytes += damaged_bytes;
+        recovered.entries.push(Entry { at_us, event: RecordedEvent::EntriesLost { entries: 0 } });
+        rest = &rest[damaged_bytes..];
+    }
+    recovered
+}
+
+/// Where the next readable frame begins.
+fn find_frame(bytes: &[u8]) -> Option<usize> {
+    (1..bytes.len()).find(|begin| decode_frame(&bytes[*begin..]).is_some())
+}
+
+/// Whether a frame begins here that was not written to its end. One whose body is complete has a damaged length.
+fn is_beginning_of_frame(bytes: &[u8]) -> bool {
+    let (Some(length), Some(checksum)) = (read_u32(bytes, 0), read_u32(bytes, FIELD_SIZE)) else {
+        return true;
+    };
+    let length = length as usize;
+    let body = &bytes[FRAME_PREFIX_SIZE..];
+    length <= MAX_ENTRY_SIZE && length > body.len() && crc32fast::hash(body) != checksum
+}
+
 /// A journal whose writer was killed while it wrote the header: it has no entries.
 fn decode_incomplete_header(bytes: &[u8]) -> Result<DecodedJournal, JournalError> {
     if header().starts_with(bytes) || bytes.starts_with(MAGIC) {
@@ -97,10 +151,9 @@
     }
     let size = FRAME_PREFIX_SIZE + length;
     let body = bytes.get(FRAME_PREFIX_SIZE..size)?;
-    if crc32fast::hash(body) != checksum {
-        return None;
-    }
-    Some((postcard::from_bytes(body).ok()?, size))
+    // Decoding ends at the first byte that makes no entry, where the checksum would take all of them.
+    let entry = postcard::from_bytes(body).ok()?;
+    (crc32fast::hash(body) == checksum).then_some((entry, size))
 }
 
 fn read_u32(bytes: &[u8], at: usize) -> Option<u32> {
--- a/crates/event-log/src/lib.rs
+++ b/crates/event-log/src/lib.rs
@@ -14,7 +14,7 @@
 mod writer;
 
 pub use entry::{Entry, RecordedEvent};
-pub use error::ReadError;
+pub use error::{ConversionError, ReadError};
 pub use reader::{for_each_entry, read_run, read_runs};
 pub use recorder::{Recorder, RecorderConfig};
 pub use segment::{convert_to_columns, list_segments, read_segment, Segment, SegmentContent};
--- a/crates/event-log/src/recorder.rs
+++ b/crates/event-log/src/recorder.rs
@@ -1,11 +1,13 @@
 //! Writes a log: the open journal, closed segments, and their retention.
 
 use crate::entry::{Entry, RecordedEvent};
+use crate::error::ConversionError;
 use crate::framing;
 use crate::segment::{convert_to_columns, journal_path, list_segments, Segment};
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread::JoinHandle;
 use std::time::{Duration, SystemTime};
 
@@ -64,6 +66,9 @@
     /// Why the last write failed.
     failure: Option<String>,
     converters: Vec<JoinHandle<()>>,
+    /// Where the converters report the journals that they leave as they are.
+    conversion_errors: Receiver<ConversionError>,
+    error_sender: Sender<ConversionError>,
 }
 
 impl Recorder {
@@ -71,6 +76,7 @@
     pub fn open(folder: &Path, config: RecorderConfig) -> io::Result<Recorder> {
         fs::create_dir_all(folder)?;
         let earlier = list_segments(folder)?;
+        let (error_sender, conversion_errors) = channel();
         let mut recorder = Recorder {
             folder: folder.to_path_buf(),
             config,
@@ -83,6 +89,8 @@
             next_attempt: Duration::ZERO,
             failure: None,
             converters: vec![],
+            conversion_errors,
+            error_sender,
         };
         for segment in earlier.into_iter().filter(|segment| !segment.is_columnar) {
             recorder.start_conversion(segment);
@@ -100,6 +108,11 @@
         self.lost_entries
     }
 
+    /// The journals that could not be made columnar since the last call.
+    pub fn take_conversion_errors(&mut self) -> Vec<ConversionError> {
+        self.conversion_errors.try_iter().collect()
+    }
+
     /// Adds an entry to the buffer.
     pub fn push(&mut self, at: Duration, event: RecordedEvent) {
         let at_us = at.as_micros() as u64;
@@ -191,8 +204,12 @@
     /// loop may. A journal for which that fails stays, and is readable.
     fn start_conversion(&mut self, segment: Segment) {
         self.converters.retain(|converter| !converter.is_finished());
+        let errors = self.error_sender.clone();
         self.converters.push(std::thread::spawn(move || {
-            let _ = convert_to_columns(&segment);
+            if let Err(error) = convert_to_columns(&segment) {
+                // A recorder that has ended needs no report: the next one converts the journal again.
+                let _ = errors.send(error);
+            }
         }));
     }
 
@@ -208,8 +225,8 @@
         }
     }
 
-    /// Ends the log in order: all is written, and closed segments are columnar.
-    pub fn finish(mut self, now: Duration) {
+    /// Ends the log in order: all is written, and closed segments are columnar but for those returned.
+    pub fn finish(mut self, now: Duration) -> Vec<ConversionError> {
         self.write(now);
         if let Some(journal) = &self.journal {
             let _ = journal.file.sync_data();
@@ -219,6 +236,7 @@
         }
         // A small columnar file is larger than its journal was.
         self.remove_old_segments();
+        self.take_conversion_errors()
     }
 }
 
--- a/crates/event-log/src/tests/segment.rs
+++ b/crates/event-log/src/tests/segment.rs
@@ -1,8 +1,24 @@
 //! Folders of segments.
 
 use super::support::{entries, journal, TestFolder};
-use crate::entry::RecordedEvent;
-use crate::{convert_to_columns, list_segments, read_run, Segment};
+use crate::entry::{Entry, RecordedEvent};
+use crate::framing::header;
+use crate::{
+    convert_to_columns, list_segments, read_run, read_segment, ConversionError, Recorder, RecorderConfig,
+    Segment,
+};
+use std::time::Duration;
+
+fn is_loss(entry: &Entry) -> bool {
+    matches!(entry.event, RecordedEvent::EntriesLost { .. })
+}
+
+/// The only segment of a folder.
+fn only_segment(folder: &TestFolder) -> Segment {
+    let mut segments = list_segments(&folder.0).unwrap();
+    assert_eq!(segments.len(), 1);
+    segments.remove(0)
+}
 
 #[test]
 fn a_missing_segment_is_a_gap_in_the_run() {
@@ -34,3 +50,77 @@
     assert_eq!(list_segments(&folder.0).unwrap().len(), 1);
     assert_eq!(read_run(&folder.0, 0).unwrap().len(), 5);
 }
+
+/// Guards against a damaged journal that was replaced by a columnar file of what stood before the damage.
+#[test]
+fn a_damaged_journal_is_kept_by_its_conversion_and_its_other_entries_are_read() {
+    // Given a journal of fifty entries with one byte changed.
+    let folder = TestFolder::new("damaged-journal");
+    let all = entries(50);
+    let mut bytes = journal(&all);
+    bytes[200] ^= 0x40;
+    let path = folder.write("00000001.journal", &bytes);
+    // When it is converted at the start of a recorder, then that is reported, and the journal is as it was.
+    let recorder = Recorder::open(&folder.0, RecorderConfig::default()).unwrap();
+    let errors = recorder.finish(Duration::ZERO);
+    assert!(matches!(errors[..], [ConversionError::Damaged { .. }]), "{errors:?}");
+    assert_eq!(std::fs::read(&path).unwrap(), bytes);
+    // Then a loss stands for the damaged entry in the run, and the others are there.
+    let run = read_run(&folder.0, 0).unwrap();
+    assert_eq!(run.iter().filter(|entry| is_loss(entry)).count(), 1);
+    let found: Vec<&Entry> = run.iter().filter(|entry| !is_loss(entry)).collect();
+    assert_eq!(found.len(), 49);
+    assert!(found.iter().all(|entry| all.contains(entry)));
+}
+
+/// Guards against entries behind a damaged byte that are lost, or lost without a word, wherever the byte is.
+#[test]
+fn a_changed_byte_of_a_journal_loses_one_entry_at_most_and_is_told() {
+    let folder = TestFolder::new("each-byte");
+    let all = entries(9);
+    let bytes = journal(&all);
+    for position in header().len()..bytes.len() {
+        for change in [0x01, 0x40, 0xff] {
+            let mut damaged = bytes.clone();
+            damaged[position] ^= change;
+            folder.write("00000001.journal", &damaged);
+            let segment = only_segment(&folder);
+            let content = read_segment(&segment).unwrap();
+            let found: Vec<&Entry> = content.entries.iter().filter(|entry| !is_loss(entry)).collect();
+            assert_eq!(found.len(), 8, "at {position}");
+            assert!(found.iter().all(|entry| all.contains(entry)), "at {position}");
+            assert_eq!(content.entries.iter().filter(|entry| is_loss(entry)).count(), 1, "at {position}");
+            assert!(content.damaged_bytes > 0 && content.torn_bytes == 0, "at {position}");
+            assert!(convert_to_columns(&segment).is_err(), "at {position}");
+            assert_eq!(std::fs::read(&segment.path).unwrap(), damaged, "at {position}");
+        }
+    }
+}
+
+/// A kill leaves the beginning of a frame, which is no damage: the journal becomes columnar.
+#[test]
+fn a_journal_with_a_torn_tail_is_converted() {
+    let folder = TestFolder::new("torn-tail");
+    let bytes = journal(&entries(9));
+    for cut in header().len()..bytes.len() {
+        folder.write("00000001.journal", &bytes[..cut]);
+        let segment = only_segment(&folder);
+        let before = read_segment(&segment).unwrap();
+        assert_eq!(before.damaged_bytes, 0, "cut at {cut}");
+        let columnar = convert_to_columns(&segment).unwrap();
+        assert_eq!(read_segment(&only_segment(&folder)).unwrap().entries, before.entries, "cut at {cut}");
+        std::fs::remove_file(columnar).unwrap();
+    }
+}
+
+/// Guards against a journal that is removed although its columnar file could not be written.
+#[test]
+fn a_journal_whose_columnar_file_cannot_be_written_stays() {
+    let folder = TestFolder::new("unwritable");
+    folder.write("00000001.journal", &journal(&entries(5)));
+    // A folder stands where the file is to be written.
+    std::fs::create_dir(folder.0.join("00000001.making")).unwrap();
+    let segment = only_segment(&folder);
+    assert!(matches!(convert_to_columns(&segment), Err(ConversionError::Write(..))));
+    assert_eq!(read_run(&folder.0, 0).unwrap(), entries(5));
+}
--- a/crates/event-log/src/writer.rs
+++ b/crates/event-log/src/writer.rs
@@ -3,6 +3,7 @@
 //! What waits for the thread is limited by bytes; entries beyond that are lost, and counted in the log.
 
 use crate::entry::RecordedEvent;
+use crate::error::ConversionError;
 use crate::recorder::Recorder;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
@@ -45,6 +46,7 @@
     max_queued_bytes: usize,
     queued_bytes: Arc<AtomicUsize>,
     recorder_status: Arc<Mutex<WriterStatus>>,
+    conversion_errors: Receiver<ConversionError>,
     /// Entries that found no room since the start.
     lost_entries: u64,
     /// Those of them that the log does not mention yet.
@@ -59,6 +61,7 @@
 
     pub(crate) fn with_limit(recorder: Recorder, max_queued_bytes: usize) -> Writer {
         let (sender, receiver) = channel();
+        let (error_sender, conversion_errors) = channel();
         let queued_bytes = Arc::new(AtomicUsize::new(0));
         let recorder_status = Arc::new(Mutex::new(WriterStatus::default()));
         let worker = Worker {
@@ -66,6 +69,7 @@
             receiver,
             queued_bytes: queued_bytes.clone(),
             status: recorder_status.clone(),
+            conversion_errors: error_sender,
         };
         Writer {
             sender: Some(sender),
@@ -73,6 +77,7 @@
             max_queued_bytes,
             queued_bytes,
             recorder_status,
+            conversion_errors,
             lost_entries: 0,
             unreported_losses: 0,
         }
@@ -120,12 +125,18 @@
         status
     }
 
-    /// Ends the log in order.
-    pub fn finish(mut self) {
+    /// The journals that could not be made columnar since the last call.
+    pub fn take_conversion_errors(&mut self) -> Vec<ConversionError> {
+        self.conversion_errors.try_iter().collect()
+    }
+
+    /// Ends the log in order; returns the journals that could not be made columnar.
+    pub fn finish(mut self) -> Vec<ConversionError> {
         self.sender = None;
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
+        self.take_conversion_errors()
     }
 }
 
@@ -135,6 +146,7 @@
     receiver: Receiver<Batch>,
     queued_bytes: Arc<AtomicUsize>,
     status: Arc<Mutex<WriterStatus>>,
+    conversion_errors: Sender<ConversionError>,
 }
 
 impl Worker {
@@ -154,11 +166,15 @@
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => now += IDLE_INTERVAL,
-                Err(RecvTimeoutError::Disconnected) => return self.recorder.finish(now),
+                Err(RecvTimeoutError::Disconnected) => {
+                    let Worker { recorder, conversion_errors, .. } = self;
+                    return report(recorder.finish(now), &conversion_errors);
+                }
             }
             self.recorder.write(now);
             self.queued_bytes.fetch_sub(written_bytes, Ordering::Relaxed);
             self.update_status();
+            report(self.recorder.take_conversion_errors(), &self.conversion_errors);
         }
     }
 
@@ -171,6 +187,13 @@
     }
 }
 
+fn report(errors: Vec<ConversionError>, receiver: &Sender<ConversionError>) {
+    for error in errors {
+        // The planner has ended without waiting for the thread.
+        let _ = receiver.send(error);
+    }
+}
+
 /// About how many bytes an event takes while it waits.
 fn estimate_size(event: &RecordedEvent) -> usize {
     match event {
