--- a/crates/event-log/src/recorder.rs
+++ b/crates/event-log/src/recorder.rs
@@ -176,11 +176,20 @@
         Ok(())
     }
 
-    fn create_journal(&self) -> io::Result<OpenJournal> {
+    /// Creates the next journal. One whose header cannot be written is removed: its number is needed for the next
+    /// attempt. If it cannot be removed either, the attempt after that takes another number.
+    fn create_journal(&mut self) -> io::Result<OpenJournal> {
         let path = journal_path(&self.folder, self.number);
-        let mut file = OpenOptions::new().create_new(true).append(true).open(path)?;
+        let created = OpenOptions::new().create_new(true).append(true).open(&path);
+        if created.as_ref().is_err_and(|error| error.kind() == io::ErrorKind::AlreadyExists) {
+            self.number += 1;
+        }
+        let mut file = created?;
         let header = framing::header();
-        file.write_all(&header)?;
+        if let Err(error) = file.write_all(&header) {
+            let _ = fs::remove_file(&path);
+            return Err(error);
+        }
         Ok(OpenJournal { file, size: header.len() as u64 })
     }
 
--- a/crates/event-log/src/tests/recorder.rs
+++ b/crates/event-log/src/tests/recorder.rs
@@ -97,3 +97,20 @@
     for_each_entry(&folder.0, 0, &mut visit).unwrap();
     assert_eq!(visited, all[..3000]);
 }
+
+/// Guards against a recording that ends for good since a file has the number of its next journal.
+#[test]
+fn recording_goes_on_beside_a_file_that_has_the_next_number() {
+    // Given a recorder, and a half header that could not be removed.
+    let folder = TestFolder::new("number");
+    let mut recorder = Recorder::open(&folder.0, RecorderConfig::default()).unwrap();
+    folder.write("00000001.journal", b"runl");
+    // When it writes, then the second attempt succeeds.
+    for (entry, seconds) in entries(2).into_iter().zip([0, 60]) {
+        recorder.push(Duration::from_secs(seconds), entry.event);
+        recorder.write(Duration::from_secs(seconds));
+    }
+    assert_eq!(recorder.failure(), None);
+    recorder.finish(Duration::from_secs(61));
+    assert_eq!(read_run(&folder.0, 0).unwrap().len(), 2);
+}
