SIGHUP reads certificates again and no longer ends planners and proxies

What callers saw: SIGHUP to `runloom planner` or `runloom forwarder` ended the process, a proxy with all requests on their way through it.

Cause: daemon::run registered SIGTERM and SIGINT only; the default action of SIGHUP ends a process.

Change: all three are registered before the settings are read. On SIGHUP certificates that changed are read at once, as operators expect of a daemon; a log line says that settings apply from the next start (the fleet changes by edits).

--- a/crates/daemon/src/planner_runtime.rs
+++ b/crates/daemon/src/planner_runtime.rs
@@ -49,6 +49,7 @@
 use runloom_model::planner_settings::PlannerSettings;
 use runloom_model::STATE;
 use runloom_netconf::tree::Element;
+use signal_hook::consts::SIGHUP;
 use std::collections::BTreeSet;
 use std::io;
 use std::time::Duration;
@@ -70,7 +71,8 @@
     durability: Durability,
     recording: EventRecording,
     rejection_log: RejectionLog,
-    last_session_check: Duration,
+    /// `None`: a check is due.
+    last_session_check: Option<Duration>,
     is_stopping: bool,
 }
 
@@ -94,7 +96,7 @@
             durability: started.durability,
             recording: started.recording,
             rejection_log: RejectionLog::default(),
-            last_session_check: Duration::ZERO,
+            last_session_check: Some(Duration::ZERO),
             is_stopping: false,
         };
         tracing::info!(
@@ -161,6 +163,7 @@
 
     fn handle_event(&mut self, event_loop: &mut EventLoop, event: IoEvent) {
         match event {
+            IoEvent::Signal(SIGHUP) => self.reload_certificates(),
             IoEvent::Signal(_) => self.is_stopping = true,
             IoEvent::Open { conn, listener, certificate } => {
                 self.handle_open(event_loop, conn, listener, certificate);
@@ -170,6 +173,12 @@
         }
     }
 
+    /// Certificates that changed are read now instead of at the next check. The fleet changes by edits only.
+    fn reload_certificates(&mut self) {
+        tracing::info!("SIGHUP: certificates are read again; settings apply from the next start");
+        self.last_session_check = None;
+    }
+
     fn handle_open(
         &mut self,
         event_loop: &mut EventLoop,
@@ -305,8 +314,8 @@
     /// Ends sessions of peers that do not acknowledge or answer in time, or whose identity is no longer valid.
     fn close_unresponsive(&mut self, event_loop: &mut EventLoop, now: Duration) {
         self.proxies.close_unacknowledged_updates(&mut self.core, event_loop, now);
-        if now >= self.last_session_check + SESSION_CHECK_INTERVAL {
-            self.last_session_check = now;
+        if self.last_session_check.is_none_or(|checked_at| now >= checked_at + SESSION_CHECK_INTERVAL) {
+            self.last_session_check = Some(now);
             self.close_invalid_identities(event_loop, now);
             self.proxies.close_silent(&mut self.core, event_loop, now);
             self.proxies.close_unacknowledged_messages(&mut self.core, event_loop, now);
--- a/crates/daemon/src/proxy_runtime.rs
+++ b/crates/daemon/src/proxy_runtime.rs
@@ -30,6 +30,7 @@
 use runloom_proxy::circuit_breaker::CircuitBreakerConfig;
 use runloom_proxy::{AttemptOutcome, Proxy, ProxyConfig, RequestAction};
 use runloom_versioned_publisher::{Topic, Version};
+use signal_hook::consts::SIGHUP;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
@@ -59,7 +60,8 @@
     settings: ProxySettings,
     proxy: Proxy,
     tls: TlsPolicy,
-    certificates_checked_at: Duration,
+    /// `None`: a check is due.
+    certificates_checked_at: Option<Duration>,
     listener: ConnectionId,
     clients: BTreeMap<ConnectionId, ClientConnection>,
     upstreams: UpstreamConnections,
@@ -97,7 +99,7 @@
             planner_link: PlannerLink::new(service, security, seed ^ REDIAL_SEED_MASK, now),
             settings,
             tls,
-            certificates_checked_at: now,
+            certificates_checked_at: Some(now),
             listener,
             clients: BTreeMap::new(),
             upstreams: UpstreamConnections::default(),
@@ -173,13 +175,26 @@
             self.requests.next_deadline(),
             self.upstreams.next_connect_timeout(),
             Some(self.reporter.due_at()),
-            Some(self.certificates_checked_at + CERTIFICATE_CHECK_INTERVAL),
+            Some(self.certificate_check_due_at()),
         ])
     }
 
+    fn certificate_check_due_at(&self) -> Duration {
+        let checked_at = self.certificates_checked_at;
+        checked_at.map(|at| at + CERTIFICATE_CHECK_INTERVAL).unwrap_or_default()
+    }
+
+    /// Certificates that changed are read now instead of at the next check.
+    fn reload_certificates(&mut self) {
+        let name = &self.settings.name;
+        tracing::info!(forwarder = %name, "SIGHUP: certificates are read again; settings apply from the next start");
+        self.certificates_checked_at = None;
+    }
+
     /// Handles an event of one of the proxy's connections.
     pub fn handle_event(&mut self, event_loop: &mut EventLoop, event: IoEvent) {
         match event {
+            IoEvent::Signal(SIGHUP) => self.reload_certificates(),
             IoEvent::Signal(_) => self.is_stopping = true,
             IoEvent::Open { conn, listener, certificate } => {
                 if listener == Some(self.listener) {
@@ -229,8 +244,8 @@
         let now = event_loop.now();
         self.expire_requests(event_loop, now);
         self.expire_connects(event_loop, now);
-        if now >= self.certificates_checked_at + CERTIFICATE_CHECK_INTERVAL {
-            self.certificates_checked_at = now;
+        if now >= self.certificate_check_due_at() {
+            self.certificates_checked_at = Some(now);
             self.check_certificates(event_loop);
         }
         self.send_due_report(event_loop, now);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,7 +6,7 @@
 use crate::settings::{self, InvalidFile, Settings};
 use crate::wall_ms;
 use runloom_event_loop::EventLoop;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -35,10 +35,11 @@
     ProxyStart(#[from] proxy_runtime::ProxyStartError),
 }
 
-/// An event loop that SIGTERM and SIGINT end.
+/// An event loop that SIGTERM and SIGINT end, and on SIGHUP reads certificates again. Without a handler SIGHUP would end
+/// the process.
 fn event_loop() -> io::Result<EventLoop> {
     let mut event_loop = EventLoop::new()?;
-    for signal in [SIGTERM, SIGINT] {
+    for signal in [SIGHUP, SIGTERM, SIGINT] {
         event_loop.signal(signal)?;
     }
     Ok(event_loop)
@@ -46,10 +47,10 @@
 
 /// Runs a planner, and prints its addresses, a line each. Without a seed, the time of the start is one.
 pub fn planner(settings: &Path, seed: Option<u64>, hooks: TestHooks) -> Result<(), RunError> {
+    let mut event_loop = event_loop()?;
     let Settings::Planner(planner_settings) = settings::read(settings)? else {
         return Err(RunError::WrongSettings { path: settings.to_path_buf(), wanted: "planner" });
     };
-    let mut event_loop = event_loop()?;
     let seed = seed.unwrap_or_else(wall_ms);
     let (mut planner, addresses) = PlannerRuntime::start(&mut event_loop, &planner_settings, seed)?;
     planner.apply_test_hooks(hooks);
@@ -66,10 +67,10 @@
 
 /// Runs a proxy, and prints its address. Without a seed, the time of the start is one.
 pub fn proxy(settings: &Path, seed: Option<u64>) -> Result<(), RunError> {
+    let mut event_loop = event_loop()?;
     let Settings::Proxy(proxy_settings) = settings::read(settings)? else {
         return Err(RunError::WrongSettings { path: settings.to_path_buf(), wanted: "forwarder" });
     };
-    let mut event_loop = event_loop()?;
     let seed = seed.unwrap_or_else(wall_ms);
     let (mut proxy, address) = ProxyRuntime::start(&mut event_loop, *proxy_settings, seed)?;
     println!("listen {address}");
