A list change with a malformed entry is asked for again instead of skipped for good

What callers saw: requests to a draining server. When discovery's change had a malformed entry, the planner took the others and advanced its revision; a drain in that entry was told to nobody until a complete list came.

Cause: EndpointList::apply counts a malformed entry as skipped and advances the revision. Lines that can't be read at all are asked for again (`an_unreadable_list_line_is_asked_for_again`), entries were not; complete lists and the cached list of the bootstrap file alike.

Change: the revision that the watch asks from stays before such a list; its readable entries count at once, and the watch is dialed again, three times at most, as for lines. After a cached list with a malformed entry the watch starts at 0.

The tests of malformed entries that were there (last duplicate holds, complete lists) are unchanged. Left: after a move of discovery within the retries, a good line of the address that is being left closes the gap too.

--- a/crates/daemon/src/platform_runtime/list_watch.rs
+++ b/crates/daemon/src/platform_runtime/list_watch.rs
@@ -57,12 +57,18 @@
         }
     }
 
+    /// Handles a line; whether it, or an entry of it, is to be asked for again.
+    fn must_ask_again(&mut self, line: &[u8]) -> bool {
+        let result = self.platform.handle_list_line(line, self.now());
+        result.is_err() || self.platform.take_must_reread_list()
+    }
+
     fn handle_watch_bytes(&mut self, conn: ConnectionId, bytes: &[u8]) {
         let now = self.now();
         let at = self.watch.address();
         let output = self.watch.handle_bytes(conn, bytes, now);
-        let mut lines = output.lines.iter();
-        let has_unreadable_line = lines.any(|line| self.platform.handle_list_line(line, now).is_err());
+        // The lines behind one that is asked for again come again too.
+        let has_unreadable_line = output.lines.iter().any(|line| self.must_ask_again(line));
         if output.is_first {
             tracing::info!(%at, "watching");
         }
--- a/crates/daemon/tests/race_conditions.rs
+++ b/crates/daemon/tests/race_conditions.rs
@@ -176,6 +176,33 @@
     proxy.read_until_entry(1, json!(["s-2", 0.0]));
 }
 
+/// Guards against a drain in a malformed entry of a change that is skipped for good.
+#[test]
+fn a_change_with_a_malformed_entry_is_asked_for_again() {
+    let (server, _health_checks) = server();
+    let (at, watches) = discovery_agent();
+    let planner = Planner::start("entry", &bootstrap(at, server));
+    let (_, mut watch) = watches.recv_timeout(LONG).unwrap();
+    watch.write_all(WATCH).unwrap();
+    let mut proxy = connected_proxy(&planner, 1);
+    // The malformed entry held a drain; the line behind it on this watch would hide that.
+    let mut malformed = member("s-2", server, "DRAINING");
+    malformed["phase"] = json!(7);
+    let line = list(42, &[malformed, member("s-1", server, "DRAINING")]).to_string();
+    let behind = list(43, &[member("s-9", server, "SERVING")]).to_string();
+    watch.write_all(&[chunk(&line), chunk(&behind)].concat()).unwrap();
+    proxy.read_until_entry(1, json!(["s-1", 0.0]));
+    let (path, mut again) = watches.recv_timeout(LONG).unwrap();
+
+    assert_eq!(path, watch_path(41));
+
+    let members = [("s-1", "DRAINING"), ("s-2", "DRAINING"), ("s-9", "SERVING")];
+    let changes = list(43, &members.map(|(id, phase)| member(id, server, phase)));
+    again.write_all(WATCH).unwrap();
+    again.write_all(&chunk(&changes.to_string())).unwrap();
+    proxy.read_until_entry(1, json!(["s-2", 0.0]));
+}
+
 #[test]
 fn an_agent_with_reset_revisions_is_asked_for_the_complete_list() {
     let (server, _health_checks) = server();
--- a/crates/platform-protocol/src/endpoint_list.rs
+++ b/crates/platform-protocol/src/endpoint_list.rs
@@ -12,7 +12,7 @@
 
 /// An agent may lag behind another by this long. Older versions for longer mean that versions were reset.
 const MAX_AGENT_LAG: Duration = Duration::from_secs(6);
-/// An unreadable line is asked for again this often in a row before it is skipped.
+/// An unreadable line or entry is asked for again this often in a row before it is skipped.
 const MAX_LINE_RETRIES: u32 = 3;
 /// The longest id, zone, kind or address, bytes.
 const MAX_NAME_BYTES: usize = 128;
@@ -65,8 +65,13 @@
 /// The list as this planner holds it.
 #[derive(Debug, Default)]
 pub struct EndpointList {
-    /// The revision that is held.
+    /// The newest revision of which anything is held.
     pub revision: u64,
+    /// The revision up to which all changes are held; older than `revision` while an entry that could not be read is to
+    /// be asked for again.
+    complete_revision: u64,
+    /// Whether the changes since `complete_revision` are to be asked for again.
+    must_reread: bool,
     /// Lines and entries that could not be used.
     pub malformed: u64,
     addresses: BTreeMap<ServerId, SocketAddr>,
@@ -76,6 +81,8 @@
     outdated_since: Option<Duration>,
     /// Lines in a row that could not be read.
     unreadable_lines: u32,
+    /// Lists in a row with an entry that could not be read.
+    unreadable_entry_lists: u32,
     /// The controller's time zero in Unix time, milliseconds.
     epoch_ms: u64,
 }
@@ -108,12 +115,14 @@
         }
         self.outdated_since = None;
         self.unreadable_lines = 0;
-        let is_repeated = header.revision == self.revision;
+        let is_repeated = header.revision == self.revision && self.complete_revision == self.revision;
         if is_repeated && !header.is_complete && source == ListSource::Watch {
             return Ok(None);
         }
         self.revision = header.revision;
+        let malformed_before = self.malformed;
         let records = self.parse_members(&header, names);
+        self.update_complete_revision(header.revision, source, self.malformed > malformed_before);
         self.store_records(&records, header.is_complete);
         let update = match source {
             ListSource::Cache => EndpointUpdate::Cached,
@@ -123,6 +132,38 @@
         Ok(Some(ListUpdate { update, records: records.into_values().collect() }))
     }
 
+    /// An entry that could not be read may hold a drain: the revision that is asked from stays before it, until it was
+    /// asked for often enough.
+    fn update_complete_revision(&mut self, revision: u64, source: ListSource, has_malformed_entry: bool) {
+        match source {
+            // The watch starts after this: from the beginning, if something is missing.
+            ListSource::Cache if has_malformed_entry => {}
+            ListSource::Watch if has_malformed_entry && self.unreadable_entry_lists < MAX_LINE_RETRIES => {
+                self.unreadable_entry_lists += 1;
+                self.must_reread = true;
+            }
+            _ => {
+                self.unreadable_entry_lists = 0;
+                self.complete_revision = revision;
+            }
+        }
+    }
+
+    /// The revision from which on changes are to be asked for.
+    pub fn complete_revision(&self) -> u64 {
+        self.complete_revision
+    }
+
+    /// Whether the changes since [`EndpointList::complete_revision`] are to be asked for again; true once.
+    pub fn take_must_reread(&mut self) -> bool {
+        std::mem::take(&mut self.must_reread)
+    }
+
+    /// Whether a server is on the list.
+    pub fn is_listed(&self, server: ServerId) -> bool {
+        self.records.contains_key(&server)
+    }
+
     /// The records of a list. Of several entries of one server the last holds.
     fn parse_members(
         &mut self,
@@ -184,6 +225,7 @@
         if is_reset {
             self.outdated_since = None;
             self.revision = 0;
+            self.complete_revision = 0;
         }
         is_reset
     }
--- a/crates/platform-protocol/src/platform.rs
+++ b/crates/platform-protocol/src/platform.rs
@@ -112,9 +112,16 @@
         &self.names.load_metrics
     }
 
-    /// The revision of the endpoint list that is held.
+    /// The revision up to which all changes of the endpoint list are held: the watch asks for those after it.
     pub fn list_revision(&self) -> u64 {
-        self.list.revision
+        self.list.complete_revision()
+    }
+
+    /// Whether the watch is to be asked again for what follows [`Platform::list_revision`], since an entry of the last
+    /// line could not be read; true once.
+    #[must_use]
+    pub fn take_must_reread_list(&mut self) -> bool {
+        self.list.take_must_reread()
     }
 
     /// Whether no further connection can be accepted now.
--- a/crates/platform-protocol/src/tests/untrusted_input.rs
+++ b/crates/platform-protocol/src/tests/untrusted_input.rs
@@ -201,3 +201,51 @@
 
     assert_eq!(records.len(), 1);
 }
+
+/// Guards against a drain in a malformed entry of a change that is skipped for good.
+#[test]
+fn a_change_with_a_malformed_entry_is_asked_for_again_and_skipped_after_a_few_attempts() {
+    let mut platform = platform();
+    let malformed = json!({"id": "s-2", "host_port": "127.0.0.1:9", "phase": 3});
+    let members = [member("s-1", "DRAINING"), malformed];
+
+    // What can be read of it counts at once.
+    receive_changes(&mut platform, 41, &members, START);
+    let Some(Event::EndpointsListed { records, .. }) = platform.list_events.last() else { panic!("no list") };
+    assert_eq!((records.len(), records[0].state), (1, ListedState::Draining));
+    assert!(platform.take_must_reread_list() && !platform.take_must_reread_list());
+    assert_eq!(platform.list_revision(), 40);
+
+    // The same change again, in order: its drain is taken in.
+    receive_changes(&mut platform, 41, &[member("s-1", "DRAINING"), member("s-2", "DRAINING")], START);
+    let Some(Event::EndpointsListed { records, .. }) = platform.list_events.last() else { panic!("no list") };
+    assert_eq!(records.len(), 2);
+    assert_eq!((platform.list_revision(), platform.take_must_reread_list()), (41, false));
+
+    // One that stays malformed does not keep the changes behind it away.
+    for _ in 0..3 {
+        receive_changes(&mut platform, 42, &members, START);
+        assert!(platform.take_must_reread_list());
+        assert_eq!(platform.list_revision(), 41);
+    }
+    receive_changes(&mut platform, 42, &members, START);
+    assert_eq!((platform.list_revision(), platform.take_must_reread_list()), (42, false));
+}
+
+/// Guards against a server that a malformed entry of the bootstrap file hides until the next complete list.
+#[test]
+fn a_cached_list_with_a_malformed_entry_is_asked_for_from_the_beginning() {
+    let mut bootstrap = bootstrap();
+    bootstrap.cached_list["members"][1]["phase"] = json!(3);
+    let mut platform = Platform::new(&bootstrap, EPOCH, 100);
+    platform.step_at(START);
+
+    assert_eq!(platform.list_revision(), 0);
+
+    // An agent that lags behind the file changes nothing.
+    receive_list(&mut platform, 39, &[member("s-1", "DRAINING")], START);
+    assert!(platform.list_events.is_empty());
+    let members = ["s-1", "s-2", "s-3"].map(|id| member(id, "SERVING"));
+    receive_list(&mut platform, 40, &members, START);
+    assert_eq!(platform.list_revision(), 40);
+}
