A server listed again in the step of its release keeps its place

What callers saw: a server that comes back ten seconds after its last use, in the iteration that releases its index, got no request until discovery sent a complete list.

Cause: Platform::step releases indices before the controller takes in the lists that were read. For the controller nothing was left of the server, so name, address and record were dropped, and the ServerReleased event behind the list cleared the endpoint.

Looked for elsewhere: ServerReleased is issued by this package alone, so the NETCONF planner cannot have it.

--- a/crates/platform-protocol/src/tests/platform.rs
+++ b/crates/platform-protocol/src/tests/platform.rs
@@ -74,6 +74,28 @@
     assert_eq!((platform.events.len(), platform.counters.malformed), (0, 1));
 }
 
+/// Guards against a server that is lost until the next complete list, since its index is released in the step that reads
+/// that it is back.
+#[test]
+fn a_server_listed_again_in_the_step_of_its_release_keeps_its_place() {
+    // Its index is released ten seconds after the last use, in one of these steps.
+    for back_at in 1..14 {
+        let mut platform = platform();
+        receive_changes(&mut platform, 41, &[member("s-1", "DELETED")], START);
+        for second in 0..back_at {
+            platform.step_at(START + ms(1000 * second));
+        }
+        let now = START + ms(1000 * back_at);
+
+        receive_changes(&mut platform, 42, &[member("s-1", "SERVING")], now);
+        platform.step_at(now);
+
+        let server = platform.names.servers.get("s-1").expect("its name is known");
+        assert!(!platform.controller.is_released(server), "back after {back_at} s");
+        assert!(platform.list.address(server).is_some(), "back after {back_at} s");
+    }
+}
+
 #[test]
 fn a_new_stream_takes_over_and_the_old_one_is_ignored() {
     let mut platform = platform();
