A server first listed as draining gets a weight once it is ready

What callers saw: where only draining binds, a long-started server that was on the list only as draining stayed without requests after it turned ready, until the planner restarted.

Cause: Endpoint::apply_record took the draining record for a known process and the ready one for the same, and so never called begin_service: the speed factor stayed at 0, and the weight is its product.

Change: a process is known only once its service has begun; the ready record begins it as that of a process not seen before.

Measured: the test failed before with only_draining_binds (weight 0) and passes with and without it.

--- a/crates/controller/src/endpoint_list.rs
+++ b/crates/controller/src/endpoint_list.rs
@@ -32,7 +32,12 @@
 impl Endpoint {
     /// Whether a record names the process that is known already.
     fn is_same_process(&self, record: &EndpointRecord) -> bool {
-        self.configured_weight > 0.0 && record.started <= self.started_at
+        self.has_been_in_service() && self.configured_weight > 0.0 && record.started <= self.started_at
+    }
+
+    /// Whether a process of it has begun its service: one that was only listed as draining has no speed yet.
+    fn has_been_in_service(&self) -> bool {
+        self.speed_factor > 0.0
     }
 
     /// Applies a record; returns whether it begins the service of a process that was not known.
--- a/crates/controller/src/tests/endpoint_list.rs
+++ b/crates/controller/src/tests/endpoint_list.rs
@@ -73,3 +73,19 @@
     controller.update_endpoints(EndpointUpdate::Delta, &[]);
     assert_eq!(health_states(&controller), [Healthy]);
 }
+
+/// Guards against an endpoint without a weight: it was on the list only as draining before, and so had no speed.
+#[test]
+fn endpoint_that_was_first_listed_as_draining_gets_a_weight_once_it_is_ready() {
+    for only_draining_binds in [true, false] {
+        let mut controller = controller(vec![healthy_endpoint(0), Endpoint::default()]);
+        controller.config.slow_start.initial_capacity = 0.5;
+        controller.config.endpoint_list.only_draining_binds = only_draining_binds;
+        let record = |state| EndpointRecord { server: 1, ..record(state, None) };
+        controller.update_endpoints(EndpointUpdate::Delta, &[record(ListedState::Draining)]);
+        controller.update_endpoints(EndpointUpdate::Delta, &[record(ListedState::Ready)]);
+        assert_eq!(health_states(&controller)[1], SlowStart);
+        assert!(controller.weight(1) > 0.0, "{only_draining_binds}");
+        assert_eq!(controller.endpoints[1].last_success, NOW, "its silence begins now");
+    }
+}
