A removed server that serves on keeps its weight, zone and kind

What callers saw: where only draining binds, a server missing from the list stays in service while it answers, but with the weight and zone of the removal's entry; an entry that names none made a server of weight 4 one of weight 1.

Cause: Endpoint::apply_record took zone, kind and weight of each record before it looked at its state.

Change: removals change none of them.

--- a/crates/controller/src/endpoint_list.rs
+++ b/crates/controller/src/endpoint_list.rs
@@ -43,10 +43,10 @@
     /// Applies a record; returns whether it begins the service of a process that was not known.
     fn apply_record(&mut self, record: &EndpointRecord, trust: ListTrust, now: Duration) -> bool {
         let is_known = self.is_same_process(record);
-        self.zone = record.zone;
-        self.kind = record.kind;
-        let is_usable = record.weight.is_finite() && record.weight > 0.0;
-        self.configured_weight = if is_usable { record.weight } else { DEFAULT_WEIGHT };
+        // A removal may name no weight or zone, and the endpoint may stay in service.
+        if record.state != ListedState::Removed {
+            self.apply_properties(record);
+        }
         match record.state {
             ListedState::Draining => self.enter(HealthState::Draining, now),
             ListedState::Removed => self.remove_from_list(trust.missing_may_serve, now),
@@ -63,6 +63,13 @@
         false
     }
 
+    fn apply_properties(&mut self, record: &EndpointRecord) {
+        self.zone = record.zone;
+        self.kind = record.kind;
+        let is_usable = record.weight.is_finite() && record.weight > 0.0;
+        self.configured_weight = if is_usable { record.weight } else { DEFAULT_WEIGHT };
+    }
+
     /// Takes in a process that was not known. One that is listed as long started is warm if it is on the first list
     /// or has answered all along; else it has yet to show that it is there.
     fn begin_service(&mut self, record: &EndpointRecord, trust: ListTrust, now: Duration) {
--- a/crates/controller/src/tests/endpoint_list.rs
+++ b/crates/controller/src/tests/endpoint_list.rs
@@ -89,3 +89,14 @@
         assert_eq!(controller.endpoints[1].last_success, NOW, "its silence begins now");
     }
 }
+
+/// Guards against an endpoint that stays in service with the weight and zone of its removal, which may name none.
+#[test]
+fn missing_endpoint_keeps_its_weight_zone_and_kind() {
+    let endpoint = Endpoint { configured_weight: 4.0, kind: 2, ..healthy_endpoint(1) };
+    let mut controller = controller_with_doubtful_list(endpoint);
+    controller.update_endpoints(EndpointUpdate::Delta, &[record(ListedState::Removed, None)]);
+    let endpoint = &controller.endpoints[0];
+    assert!(endpoint.missing_from_list && endpoint.is_in_service());
+    assert_eq!((endpoint.configured_weight, endpoint.zone, endpoint.kind), (4.0, 1, 2));
+}
