A report before the first list no longer makes that list's servers unverified

What callers saw: where only draining binds, and a report or health check comes before the first list, all servers of that list entered slow start as unverified and left at their first failure.

Cause: "no list came before" was read from the controller having no endpoints, and a report makes one.

Change: the controller notes that a list has named an endpoint.

Measured: the test failed before ([SlowStart, SlowStart] for [Healthy, Healthy]) and passes.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -34,6 +34,8 @@
     /// Seeded at the start; `None` before it.
     pub(crate) random: Option<WyRand>,
     pub(crate) endpoints: Vec<Endpoint>,
+    /// A list has named an endpoint. Reports may name some before.
+    pub(crate) has_listed_endpoints: bool,
     pub(crate) proxies: Vec<Proxy>,
     pub(crate) channel: UpdateChannel,
     pub(crate) admission: AdmissionController,
--- a/crates/controller/src/endpoint_list.rs
+++ b/crates/controller/src/endpoint_list.rs
@@ -93,10 +93,11 @@
     /// Applies an endpoint list.
     pub(crate) fn update_endpoints(&mut self, update: EndpointUpdate, records: &[EndpointRecord]) {
         let trust = ListTrust {
-            is_first: self.endpoints.is_empty(),
+            is_first: !self.has_listed_endpoints,
             missing_may_serve: self.config.endpoint_list.only_draining_binds,
         };
         self.needs_evaluation = true;
+        self.has_listed_endpoints |= !records.is_empty();
         for record in records {
             let now = self.now;
             let endpoint = slot(&mut self.endpoints, record.server);
--- a/crates/controller/src/tests/endpoint_list.rs
+++ b/crates/controller/src/tests/endpoint_list.rs
@@ -100,3 +100,16 @@
     assert!(endpoint.missing_from_list && endpoint.is_in_service());
     assert_eq!((endpoint.configured_weight, endpoint.zone, endpoint.kind), (4.0, 1, 2));
 }
+
+/// Guards against a first list whose endpoints are all unverified, since a report came before it.
+#[test]
+fn endpoints_of_the_first_list_are_warm_though_a_report_came_before() {
+    let mut controller = controller(vec![]);
+    controller.config.endpoint_list.only_draining_binds = true;
+    controller.handle_event(&outcome_report(0, 9, 0, seconds(1)), &mut vec![]);
+    let records = [0, 1].map(|server| EndpointRecord { server, ..record(ListedState::Ready, None) });
+    controller.now += seconds(9);
+    controller.update_endpoints(EndpointUpdate::Snapshot, &records);
+    assert_eq!(health_states(&controller), [Healthy, Healthy]);
+    assert!(controller.endpoints.iter().all(|endpoint| !endpoint.unverified));
+}
