An entry whose move to another table was rejected is not forgotten

What callers saw: when the guard rejected both commands of an endpoint's move between tables, the controller took the old entry for removed; a later drain sent no removal, and the proxies of the old table went on sending to a draining server. Suspected by reading.

Cause: Controller::revert set what is published by the rejection it saw last; that of the new entry is "nothing", which erased the old.

Change: a rejected entry that stays in no table erases only what is noted of its own table.

Measured: the test, in both orders of the rejections, failed before (None for the old entry) in the order in which the commands are issued, and passes.

--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -196,8 +196,12 @@
     fn revert(&mut self, command: &Command, published_weight: Option<f64>) {
         match command {
             Command::SetEntry { table, server, .. } => {
-                let entry = |weight| TableEntry { table: *table, weight };
-                slot(&mut self.endpoints, *server).published = published_weight.map(entry);
+                let published = &mut slot(&mut self.endpoints, *server).published;
+                match published_weight {
+                    Some(weight) => *published = Some(TableEntry { table: *table, weight }),
+                    // A move has a command for each table: what stays in the other one is told by its own.
+                    None => _ = published.take_if(|entry| entry.table == *table),
+                }
             }
             Command::AssignTable { proxy, .. } => slot(&mut self.proxies, *proxy).assigned = None,
             Command::SetAdmission { class, .. } => *slot(&mut self.admission.published, *class) = None,
--- a/crates/controller/src/tests/publication.rs
+++ b/crates/controller/src/tests/publication.rs
@@ -67,6 +67,25 @@
     assert!(first.len() == 2 && again == first, "{again:?}");
 }
 
+/// Guards against an entry that stays in proxies' tables after its endpoint drains: its move to another table was rejected.
+#[test]
+fn entry_whose_move_was_rejected_is_still_known_in_the_old_table() {
+    let old = TableEntry { table: 1, weight: 0.5 };
+    let moves = [
+        (Command::SetEntry { table: 1, server: 0, weight: 0.0 }, Some(0.5)),
+        (Command::SetEntry { table: 2, server: 0, weight: 1.0 }, None),
+    ];
+    for order in [[0, 1], [1, 0]] {
+        let moved = Endpoint { published: Some(TableEntry { table: 2, weight: 1.0 }), ..healthy_endpoint(0) };
+        let mut controller = controller(vec![moved]);
+        for index in order {
+            let (command, published_weight) = moves[index].clone();
+            controller.handle_event(&Event::CommandRejected { command, published_weight }, &mut vec![]);
+        }
+        assert_eq!(controller.endpoints[0].published, Some(old), "{order:?}");
+    }
+}
+
 #[test]
 fn connected_proxy_gets_tables_for_all_classes() {
     let mut controller = controller((0..5).map(|_| healthy_endpoint(0)).collect());
