Test controllers with endpoints have had a list, as the new flag says

Cause: added Controller::has_listed_endpoints, and the tests' support builds controllers with endpoints that came by no list event.

Change: support sets the flag where it puts endpoints in. The test that failed, its endpoints and its assertions are unchanged.

--- a/crates/controller/src/tests/support.rs
+++ b/crates/controller/src/tests/support.rs
@@ -57,7 +57,18 @@
     let config = DeploymentConfig { channel, ..DeploymentConfig::default() };
     let (subsets, random) = (vec![Subset::default()], Some(WyRand::new_seed(1)));
     let admission = AdmissionController { ticks_with_reports: 9, ..AdmissionController::default() };
-    Controller { now: NOW, config, endpoints, subsets, random, admission, ..Controller::default() }
+    // Endpoints that are there were listed.
+    let has_listed_endpoints = !endpoints.is_empty();
+    Controller {
+        now: NOW,
+        config,
+        endpoints,
+        has_listed_endpoints,
+        subsets,
+        random,
+        admission,
+        ..Controller::default()
+    }
 }
 
 /// A connected proxy of the first subset; `assigned` are the isolated classes of its tables.
