A class beyond a mask's 64 bits is never isolated in another one's place

What callers saw: on a platform with more than 64 classes, an overload isolated the wrong class: 5 for 69 (a release build), or ended the planner (one with overflow checks). Suspected on the roadmap by reading.

Cause: `1 << class` in AdmissionController::tighten_isolation and, for admission rates, in the adapter. Looked for elsewhere: the platform's updates count at most 64 classes and shift no further; the schema of NETCONF settings allows 32, so that control-session and guard can't meet it.

Change: the lowest class is sought among those that a mask has bits for.

Measured: the test failed before in both builds (shift overflow; mask 32 for 1 << 63) and passes.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -164,7 +164,8 @@
         }
     }
 
-    /// The wire's form of a command; `None` where it names something that the wire has not named before.
+    /// The wire's form of a command; `None` where it names something that the wire has not named before, or a class that
+    /// the wire's masks have no bit for.
     pub fn command(&self, planner: u64, command: Command) -> Option<Output> {
         Some(match command {
             Command::SetEntry { table, server, weight } => {
@@ -180,7 +181,7 @@
             Command::SetAdmission { table, class, admission_rate, retry_policy } => Output::SetAdmission {
                 planner,
                 table,
-                class_mask: 1 << class,
+                class_mask: 1u64.checked_shl(u32::try_from(class).ok()?)?,
                 admission_rate: admission_rate.unwrap_or(self.unlimited_rate),
                 retry_policy,
             },
--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -59,6 +59,9 @@
     pub has_settled: bool,
 }
 
+/// Classes that a mask has bits for. Further ones are never isolated.
+const CLASS_MASK_BITS: usize = u64::BITS as usize;
+
 /// How much is admitted, and for whom.
 #[derive(Debug, Default)]
 pub(crate) struct AdmissionController {
@@ -153,7 +156,8 @@
         admission.update_capacity_estimate(&demand, is_limited);
         let pressure = admission.shared.overload_pressure;
         if pressure > HIGH_PRESSURE && has_settled {
-            let lowest_class = self.config.classes_by_priority().into_iter().skip(1).last();
+            let by_priority = self.config.classes_by_priority().into_iter().skip(1);
+            let lowest_class = by_priority.filter(|class| *class < CLASS_MASK_BITS).last();
             admission.tighten(&demand, lowest_class, now);
         } else if pressure < LOW_PRESSURE {
             let is_random = self.config.selection == SelectionMethod::Random;
--- a/crates/controller/src/tests/admission_control.rs
+++ b/crates/controller/src/tests/admission_control.rs
@@ -100,3 +100,17 @@
     controller.update_admission();
     assert_eq!((controller.admission.isolated_classes, controller.admission.admission_limit), (0b01, None));
 }
+
+/// Guards against a shift beyond the bits of a class mask: a panic, or another class isolated in its place.
+#[test]
+fn class_beyond_the_bits_of_a_mask_is_never_isolated() {
+    let mut controller = rate_limiting_controller(vec![healthy_endpoint(0)]);
+    controller.config.admission = AdmissionKind::Unlimited;
+    // The lower the priority, the higher the class's index.
+    let all: Vec<(f64, f64)> = (0..70).map(|class| (1.0, 100.0 - f64::from(class))).collect();
+    controller.config.classes = classes(&all);
+    controller.admission.retries_disabled = true;
+    controller.admission.shared.latencies.add(3.0, 50.0);
+    controller.update_admission();
+    assert_eq!(controller.admission.isolated_classes, 1 << 63);
+}
