--- a/crates/controller/src/endpoint_list.rs
+++ b/crates/controller/src/endpoint_list.rs
@@ -43,8 +43,8 @@
     /// Applies a record; returns whether it begins the service of a process that was not known.
     fn apply_record(&mut self, record: &EndpointRecord, trust: ListTrust, now: Duration) -> bool {
         let is_known = self.is_same_process(record);
-        // A removal may name no weight or zone, and the endpoint may stay in service.
-        if record.state != ListedState::Removed {
+        // A removal may name no weight or zone, and an endpoint in service may stay there.
+        if record.state != ListedState::Removed || !self.is_in_service() {
             self.apply_properties(record);
         }
         match record.state {
