A message without ejections is not shared with proxies that need them

What callers would see: a proxy that never learns that a server is ejected. The controller issues no ejections today; found by reading.

Cause: PublishedTables::shared_delta_message chose a shared message by the changed tables alone; whether it carries ejections was decided by the first proxy, and one without tables carries none.

Change: messages are shared by changed tables and by whether they carry ejections, as a type with both.

Measured: the test failed before (no ejection for the second proxy) and passes.

--- a/crates/control-session/src/published_tables.rs
+++ b/crates/control-session/src/published_tables.rs
@@ -81,6 +81,13 @@
     pub entries: usize,
 }
 
+/// What the message of a proxy depends on if its assignment did not change: proxies with the same can share it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct SharedContent {
+    changed_tables: Vec<TableId>,
+    has_ejections: bool,
+}
+
 /// All tables of a planner, as published.
 #[derive(Debug, Default)]
 pub(crate) struct PublishedTables {
@@ -209,36 +216,37 @@
         messages
     }
 
-    /// The message for a proxy whose assignment did not change, if it needs one. Proxies on the same changed tables
+    /// The message for a proxy whose assignment did not change, if it needs one. Proxies with the same changes
     /// share one message.
     fn shared_delta_message(
         &self,
         assigned: &AssignedTables,
         is_required: bool,
-        shared: &mut BTreeMap<Vec<TableId>, (Rc<UpdateMessage>, usize)>,
+        shared: &mut BTreeMap<SharedContent, (Rc<UpdateMessage>, usize)>,
         names: &IndexNames,
     ) -> Option<(Rc<UpdateMessage>, usize)> {
-        let mut changed = Vec::from_iter(assigned.tables());
-        changed.retain(|table| self.deltas.contains_key(table));
+        let mut changed_tables = Vec::from_iter(assigned.tables());
+        changed_tables.retain(|table| self.deltas.contains_key(table));
         // A proxy without an assignment by this planner learns of ejections by its first message.
         let has_ejections = !self.ejection_changes.is_empty() && !assigned.table_of_class.is_empty();
-        if changed.is_empty() && !has_ejections && !is_required {
+        if changed_tables.is_empty() && !has_ejections && !is_required {
             return None;
         }
-        let made = shared.entry(changed).or_insert_with_key(|changed| {
-            let message = self.delta_message(changed, has_ejections, names);
+        let content = SharedContent { changed_tables, has_ejections };
+        let made = shared.entry(content).or_insert_with_key(|content| {
+            let message = self.delta_message(content, names);
             let entries = message.entry_count();
             (Rc::new(message), entries)
         });
         Some(made.clone())
     }
 
-    fn delta_message(&self, changed: &[TableId], has_ejections: bool, names: &IndexNames) -> UpdateMessage {
+    fn delta_message(&self, content: &SharedContent, names: &IndexNames) -> UpdateMessage {
         let mut message = UpdateMessage::default();
-        for table in changed {
+        for table in &content.changed_tables {
             message.tables.insert(*table, self.deltas[table].to_edit(names));
         }
-        if has_ejections {
+        if content.has_ejections {
             message.ejections = self.ejection_changes(names);
         }
         message
--- a/crates/control-session/src/tests.rs
+++ b/crates/control-session/src/tests.rs
@@ -1,4 +1,6 @@
+use crate::published_tables::PublishedTables;
 use crate::report_aggregator::ReportAggregator;
+use crate::table_message::IndexNames;
 use crate::{Action, ControlSession};
 use runloom_controller::{EndpointUpdate, Event};
 use runloom_inventory::{Change, Server};
@@ -6,6 +8,7 @@
 use runloom_model::report::{ClassArrivals, ServerOutcomes};
 use runloom_model::table_update::UpdateMessage;
 use runloom_netconf::tree::Element;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -174,3 +177,21 @@
     let with_backlog = FLEET.replace("<backlog>9000", "<backlog>8000");
     assert!(session.reconfigure(fleet(&with_backlog), 2));
 }
+
+/// Guards against an ejection that a proxy never learns of, since it shares the message of one that has no tables yet.
+#[test]
+fn a_message_without_ejections_is_not_shared_with_proxies_that_need_them() {
+    // Given a proxy without an assignment, and one that holds its table.
+    let mut tables = PublishedTables::default();
+    let names = IndexNames { server: &|_| "s3", address: &|_| String::new(), class: &|_| "q" };
+    tables.connect_proxy(0);
+    tables.connect_proxy(1);
+    tables.assign(1, 1, std::iter::once(0));
+    tables.take_messages(&[0, 1], &BTreeSet::new(), &names);
+    // When a server is ejected, and the first one gets a message for its acknowledgement.
+    tables.set_ejected(3, true);
+    let messages = tables.take_messages(&[0, 1], &BTreeSet::from([0]), &names);
+    // Then the second one learns of the ejection, and the first one by its first table.
+    let ejections = |k: usize| messages[k].message.ejections.clone();
+    assert_eq!((ejections(0), ejections(1)), (BTreeMap::new(), BTreeMap::from([("s3".into(), true)])));
+}
