Tables go out where the overhead of messages to all proxies exceeds the queue

What callers saw: with more proxies than the queue has overhead for (1,000 at 4,000 entries and 5 a message), no proxy ever got a table, and nothing said so.

Cause: Controller::publish reserves the overhead of a message to each connected proxy before anything goes out; where that is over three quarters of the queue the room is negative for good, and it returned early.

Change: there, and only there, the overhead is counted for each recipient: first tables go out in turns as acknowledgements make room, and changes of tables whose proxies fit. Where a change for one table's proxies can never fit, a line is logged once (a command of its own); that it isn't published stays a known gap.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -203,6 +203,7 @@
             Command::LogEjection(report) => {
                 Output::Log { planner, text: report.log_line(&report.server.to_string()) }
             }
+            Command::LogQueueShortage(shortage) => Output::Log { planner, text: shortage.log_line() },
         })
     }
 
--- a/crates/control-session/src/execution.rs
+++ b/crates/control-session/src/execution.rs
@@ -84,6 +84,9 @@
                 let text = report.log_line(self.server_name(report.server));
                 execution.actions.push(Action::Log { text });
             }
+            Command::LogQueueShortage(shortage) => {
+                execution.actions.push(Action::Log { text: shortage.log_line() });
+            }
             // Endpoint lists arrive here without being asked for, and a planner has no peers.
             Command::WatchEndpoints { .. } | Command::FetchEndpoints | Command::SendToPeer { .. } => {}
         }
@@ -146,7 +149,13 @@
 
 /// Whether a command changes what proxies hold, which is what the guard validates.
 fn concerns_proxies(command: &Command) -> bool {
-    !matches!(command, Command::CheckHealth { .. } | Command::SetTimer { .. } | Command::LogEjection(_))
+    !matches!(
+        command,
+        Command::CheckHealth { .. }
+            | Command::SetTimer { .. }
+            | Command::LogEjection(_)
+            | Command::LogQueueShortage(_)
+    )
 }
 
 fn address_text(address: Option<SocketAddr>) -> String {
--- a/crates/controller/src/command.rs
+++ b/crates/controller/src/command.rs
@@ -2,6 +2,7 @@
 
 use crate::ejection_report::EjectionReport;
 use crate::event::{ClassId, ProxyId, ServerId, TableId};
+use crate::queue_shortage::QueueShortage;
 use crate::retry_policy::RetryPolicy;
 use std::time::Duration;
 
@@ -92,4 +93,6 @@
     },
     /// Tells the operators that an endpoint was ejected.
     LogEjection(EjectionReport),
+    /// Tells the operators that the channel's queue is too small for changes.
+    LogQueueShortage(QueueShortage),
 }
--- a/crates/controller/src/flow_control.rs
+++ b/crates/controller/src/flow_control.rs
@@ -22,6 +22,8 @@
     pub last_update: Duration,
     /// While an update is made: the entries that there is room for.
     pub available_entries: f64,
+    /// The operators were told that the queue is too small for changes.
+    pub has_logged_shortage: bool,
     /// While an update is made: the proxies that get a message.
     pub recipients: BTreeSet<ProxyId>,
 }
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod panic_threshold;
 pub mod proxy;
 pub mod publication;
+pub mod queue_shortage;
 pub mod retry_policy;
 pub mod slow_start;
 pub mod speed_estimation;
@@ -49,6 +50,7 @@
     ServerId, TableId, ZoneId,
 };
 pub use id_map::IdMap;
+pub use queue_shortage::QueueShortage;
 pub use retry_policy::RetryPolicy;
 pub use warm_start::{LearnedState, WarmStartHint};
 
--- a/crates/controller/src/publication.rs
+++ b/crates/controller/src/publication.rs
@@ -5,6 +5,7 @@
 use crate::controller::Controller;
 use crate::endpoint::{slot, Endpoint, HealthState, TableEntry};
 use crate::event::{ProxyId, ServerId};
+use crate::queue_shortage::QueueShortage;
 use crate::statistics::is_within;
 use crate::subsetting::{subset_of, table_of, Subset};
 use std::collections::BTreeSet;
@@ -44,8 +45,10 @@
     pub is_open: bool,
     /// Entries that only a proxy's first table may use.
     pub first_table_reserve: f64,
-    /// Entries that each message costs beyond its own.
+    /// Entries that each message costs beyond its own, which are reserved for all proxies before an update is made.
     pub message_cost: f64,
+    /// The same where they cannot be reserved for all proxies, and are counted for each recipient; else 0.
+    pub cost_per_recipient: f64,
 }
 
 /// An endpoint whose entry is to change.
@@ -80,22 +83,31 @@
         let connected = self.proxies.iter().filter(|proxy| proxy.is_connected).count() as f64;
         let queue_limit = self.config.channel.queue_limit.unwrap_or(DEFAULT_QUEUE_LIMIT);
         let message_cost = self.config.channel.message_overhead + 1.0;
-        let available =
-            queue_limit * RESERVED_QUEUE_SHARE - self.channel.queued_entries() - message_cost * connected;
+        let room = queue_limit * RESERVED_QUEUE_SHARE;
         let first_table_reserve = queue_limit * FIRST_TABLE_QUEUE_SHARE;
+        // More than the queue holds can't be reserved: nothing would ever be published.
+        let is_reservable = message_cost * connected <= room + first_table_reserve;
+        let reserved = if is_reservable { message_cost * connected } else { 0.0 };
+        let available = room - self.channel.queued_entries() - reserved;
         if connected < 1.0 || available + first_table_reserve < 0.0 {
             return;
         }
-        let window = self.update_window(is_tick, first_table_reserve, message_cost);
+        let mut window = self.update_window(is_tick, first_table_reserve);
+        if is_reservable {
+            window.message_cost = message_cost;
+        } else {
+            window.cost_per_recipient = message_cost;
+        }
+        self.log_queue_shortage(room, window.cost_per_recipient, commands);
         if window.is_regular || self.admission.isolated_classes != 0 {
             self.isolate_classes();
         }
         self.channel.available_entries = available;
         self.channel.recipients.clear();
         if window.is_open {
-            self.publish_entries(window.is_regular, commands);
+            self.publish_entries(&window, commands);
             if window.is_regular {
-                self.publish_admissions(2.0 * connected, commands);
+                self.publish_admissions((2.0 + window.cost_per_recipient) * connected, commands);
             }
         }
         let has_entries = !self.channel.recipients.is_empty();
@@ -108,13 +120,25 @@
     }
 
     /// Where messages are limited, one with all that is due goes out at even intervals and some are left unused.
-    fn update_window(&self, is_tick: bool, first_table_reserve: f64, message_cost: f64) -> UpdateWindow {
+    fn update_window(&self, is_tick: bool, first_table_reserve: f64) -> UpdateWindow {
         let channel = &self.config.channel;
         let window = channel.message_window.unwrap_or(DEFAULT_MESSAGE_WINDOW) + MESSAGE_WINDOW_MARGIN;
         let interval = window.div_f64((channel.message_limit - SPARE_MESSAGES).max(1.0));
         let is_open = !channel.limits_messages() || self.now >= self.channel.last_update + interval;
         let is_regular = if channel.limits_messages() { is_open } else { is_tick };
-        UpdateWindow { is_regular, is_open, first_table_reserve, message_cost }
+        UpdateWindow { is_regular, is_open, first_table_reserve, message_cost: 0.0, cost_per_recipient: 0.0 }
+    }
+
+    /// Tells the operators once if a change for all proxies of a table takes more than there is ever room for.
+    fn log_queue_shortage(&mut self, room: f64, cost_per_recipient: f64, commands: &mut Vec<Command>) {
+        let proxies = self.subsets.iter().map(|subset| subset.proxy_count).fold(0.0, f64::max);
+        let required_entries = proxies * (1.0 + cost_per_recipient);
+        let is_short = cost_per_recipient > 0.0 && required_entries > room;
+        if is_short && !self.channel.has_logged_shortage {
+            let shortage = QueueShortage { proxies, required_entries, available_entries: room };
+            commands.push(Command::LogQueueShortage(shortage));
+        }
+        self.channel.has_logged_shortage = is_short;
     }
 
     fn request_ack(&mut self, available: f64, window: &UpdateWindow, commands: &mut Vec<Command>) {
@@ -138,15 +162,23 @@
     }
 
     /// Publishes entries that changed, the most urgent first, until the channel has no more room.
-    fn publish_entries(&mut self, is_regular: bool, commands: &mut Vec<Command>) {
+    fn publish_entries(&mut self, window: &UpdateWindow, commands: &mut Vec<Command>) {
         let mut concerned = BTreeSet::new();
-        for change in self.entry_changes(is_regular) {
+        for change in self.entry_changes(window.is_regular) {
             let published = self.endpoints[change.server].published;
             let removed = published.filter(|old| change.entry.is_none_or(|new| new.table != old.table));
             let removal = removed.map(|old| TableEntry { weight: 0.0, ..old });
             let entries = removal.into_iter().chain(change.entry);
             let subsets = entries.clone().map(|entry| subset_of(entry.table));
-            let cost: f64 = subsets.clone().map(|subset| self.subsets[subset].proxy_count).sum();
+            let cost_per_proxy = |subset: &usize| {
+                if concerned.contains(subset) {
+                    1.0
+                } else {
+                    1.0 + window.cost_per_recipient
+                }
+            };
+            let cost = |subset: usize| self.subsets[subset].proxy_count * cost_per_proxy(&subset);
+            let cost: f64 = subsets.clone().map(cost).sum();
             if cost > self.channel.available_entries {
                 break;
             }
@@ -210,7 +242,9 @@
             let proxy = &self.proxies[id];
             let Some(subset) = proxy.subset.filter(|_| proxy.is_connected) else { continue };
             let has_table = proxy.assigned.is_some();
-            let cost = self.assignment_cost(subset);
+            let is_recipient = self.channel.recipients.contains(&id);
+            let message_cost = if is_recipient { 0.0 } else { window.cost_per_recipient };
+            let cost = self.assignment_cost(subset) + message_cost;
             let reserve = if has_table { 0.0 } else { window.first_table_reserve };
             let has_room = cost <= self.channel.available_entries + reserve;
             let is_settled = proxy.assigned == Some(self.subsets[subset].isolated_classes);
--- a/crates/controller/src/tests/publication.rs
+++ b/crates/controller/src/tests/publication.rs
@@ -13,8 +13,13 @@
     let mut controller = controller_with_doubtful_list(healthy_endpoint(0));
     controller.proxies = vec![Proxy { has_previous_table: true, ..proxy(None) }];
     (controller.admission.list_is_stale, controller.admission.ticks_with_reports) = (true, 9);
-    let window =
-        UpdateWindow { is_regular: true, is_open: true, first_table_reserve: 0.0, message_cost: 5.0 };
+    let window = UpdateWindow {
+        is_regular: true,
+        is_open: true,
+        first_table_reserve: 0.0,
+        message_cost: 5.0,
+        cost_per_recipient: 0.0,
+    };
     controller.assign_tables(&window, &mut vec![]);
     assert_eq!(controller.proxies[0].assigned, None);
     controller.endpoints[1].health = Draining;
@@ -196,3 +201,51 @@
     assert!((3..=10).contains(&messages.count()));
     assert_eq!(sides, BTreeSet::from([0, 2]), "they do part and join");
 }
+
+/// Guards against proxies that get no table at all, and operators who are not told, where the overhead of messages to all
+/// proxies is more than the queue holds.
+#[test]
+fn first_tables_go_out_though_the_overhead_of_all_messages_exceeds_the_queue() {
+    let mut controller = controller((0..10).map(|_| healthy_endpoint(0)).collect());
+    // A message costs five entries beside its own; the queue holds 4,000.
+    controller.proxies = (0..1000).map(|_| proxy(None)).collect();
+    let (mut shortages, mut is_assigned) = (0, BTreeSet::new());
+    for _ in 0..20 {
+        let commands = publish_all(&mut controller);
+        for command in &commands {
+            match command {
+                Command::AssignTable { proxy, .. } => _ = is_assigned.insert(*proxy),
+                Command::LogQueueShortage(_) => shortages += 1,
+                _ => {}
+            }
+        }
+        assert!(controller.channel.queued_entries() <= 3000.0, "a part of the queue stays free");
+        // All of them acknowledge.
+        controller.channel.in_flight.clear();
+    }
+    assert_eq!((is_assigned.len(), shortages), (1000, 1));
+}
+
+/// With tables for few proxies each, changes fit too, and reach all of them within the queue.
+#[test]
+fn changes_go_out_table_by_table_though_the_overhead_of_all_messages_exceeds_the_queue() {
+    let mut controller = large_fleet();
+    controller.config.channel.queue_limit = Some(100.0);
+    controller.config.channel.message_overhead = 4.0;
+    let count = controller.proxies.len();
+    for _ in 0..200 {
+        publish_all(&mut controller);
+        assert!(controller.channel.queued_entries() <= 75.0);
+        controller.channel.in_flight.clear();
+    }
+    assert!(controller.proxies.iter().all(|proxy| proxy.assigned.is_some()), "{count} proxies");
+    let gone =
+        (0..controller.endpoints.len()).find(|s| controller.endpoints[*s].published.is_some()).unwrap();
+    controller.endpoints[gone].health = Draining;
+    for _ in 0..20 {
+        publish_all(&mut controller);
+        assert!(controller.channel.queued_entries() <= 75.0);
+        controller.channel.in_flight.clear();
+    }
+    assert_eq!(controller.endpoints[gone].published, None);
+}
--- a/crates/platform-protocol/src/platform.rs
+++ b/crates/platform-protocol/src/platform.rs
@@ -220,6 +220,9 @@
             match command {
                 Command::SetTimer { after, token } => self.timers.set(now + after, token),
                 Command::LogEjection(report) => self.log_ejection(&report),
+                Command::LogQueueShortage(shortage) => {
+                    self.actions.push(Action::Log { text: shortage.log_line() });
+                }
                 Command::CheckHealth { server } => self.check_health(server),
                 // The watch brings all changes unasked; planners have no channel to each other here.
                 _ => {}
