--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -156,8 +156,8 @@
         admission.update_capacity_estimate(&demand, is_limited);
         let pressure = admission.shared.overload_pressure;
         if pressure > HIGH_PRESSURE && has_settled {
-            let by_priority = self.config.classes_by_priority().into_iter().skip(1);
-            let lowest_class = by_priority.filter(|class| *class < CLASS_MASK_BITS).last();
+            let mut others = self.config.classes_by_priority().into_iter().skip(1);
+            let lowest_class = others.rfind(|class| *class < CLASS_MASK_BITS);
             admission.tighten(&demand, lowest_class, now);
         } else if pressure < LOW_PRESSURE {
             let is_random = self.config.selection == SelectionMethod::Random;
