--- a/crates/store/src/framing.rs
+++ b/crates/store/src/framing.rs
@@ -31,6 +31,8 @@
     pub frames: Vec<Vec<u8>>,
     /// Bytes after the last complete frame.
     pub trailing_bytes: usize,
+    /// Complete frames among those bytes: what stands before them is damaged, and not the unfinished end of a write.
+    pub frames_behind_damage: usize,
 }
 
 /// Appends a frame to `out`.
@@ -62,7 +64,24 @@
         frames.push(body.to_vec());
         rest = after;
     }
-    Some(FileContent { header, frames, trailing_bytes: rest.len() })
+    let frames_behind_damage = count_frames_behind_damage(rest);
+    Some(FileContent { header, frames, trailing_bytes: rest.len(), frames_behind_damage })
+}
+
+/// Counts the complete frames behind one that cannot be read. Its length may be what is damaged, so each byte is tried.
+pub(crate) fn count_frames_behind_damage(bytes: &[u8]) -> usize {
+    let mut count = 0;
+    let mut rest = bytes.get(1..).unwrap_or_default();
+    while !rest.is_empty() {
+        match split_frame(rest) {
+            Some((_, after)) => {
+                count += 1;
+                rest = after;
+            }
+            None => rest = &rest[1..],
+        }
+    }
+    count
 }
 
 /// The first frame and what follows it; `None` if it is incomplete or corrupt.
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -2,7 +2,7 @@
 
 use crate::disk::Disk;
 use crate::error::StoreError;
-use crate::framing::{read_file, FileContent, FileKind};
+use crate::framing::{count_frames_behind_damage, read_file, FileContent, FileKind};
 use crate::generation::{list_files, FileId};
 use crate::layout::{Layout, UpgradeFn, VersionUpgrade};
 use std::collections::BTreeMap;
@@ -85,7 +85,10 @@
         let journals = self.files_of(FileKind::Journal).into_iter();
         for (id, file) in journals.filter(|(id, _)| id.generation >= first_generation) {
             let Some(content) = self.read(&file, id)? else {
-                self.note(format!("{file} was cut off before its first entry"));
+                match count_frames_behind_damage(&self.disk.read(&file)?) {
+                    0 => self.note(format!("{file} was cut off before its first entry")),
+                    entries => self.keep_damaged_journal(&file, entries)?,
+                }
                 continue;
             };
             for entry in content.frames {
@@ -93,13 +96,29 @@
                 let entry = upgrade(self.layout, &file, version, entry, |step| step.entry)?;
                 self.opened.entries.push(entry);
             }
-            if content.trailing_bytes > 0 {
+            if content.frames_behind_damage > 0 {
+                self.keep_damaged_journal(&file, content.frames_behind_damage)?;
+            } else if content.trailing_bytes > 0 {
                 self.note(format!("{file}: {} bytes at its end were cut off", content.trailing_bytes));
             }
         }
         Ok(())
     }
 
+    /// Copies a journal with entries that cannot be applied, since one before them is lost: it is pruned otherwise.
+    fn keep_damaged_journal(&mut self, file: &str, entries: usize) -> Result<(), StoreError> {
+        let aside = format!("{file}.broken");
+        let bytes = self.disk.read(file)?;
+        self.disk.create(&aside)?;
+        self.disk.append(&aside, &bytes)?;
+        self.disk.sync(&aside)?;
+        self.disk.sync_folder()?;
+        self.note(format!(
+            "{file} is broken: {entries} entries behind the damage are left out, and kept in {aside}"
+        ));
+        Ok(())
+    }
+
     /// Reads a file; `None` if its header is corrupt or that of another file.
     fn read(&self, file: &str, id: FileId) -> Result<Option<FileContent>, StoreError> {
         let Some(content) = read_file(&self.disk.read(file)?) else { return Ok(None) };
--- a/crates/store/src/tests.rs
+++ b/crates/store/src/tests.rs
@@ -1,4 +1,5 @@
 mod accepted_state;
+mod damage;
 mod durability;
 mod flaky_disk;
 mod folder;
