After older revisions the complete list is asked for: an agent may have counted anew

Cause: older revisions are ignored for six seconds, as an agent may lag. A delta of the held revision ended that as "it has caught up" and was itself ignored as a repetition; so were the changes in between. By revisions alone the two can't be told apart.

A lagging agent costs one connection. Existing tests of lagging and reset agents are unchanged and pass.

--- a/crates/daemon/src/platform_runtime/list_watch.rs
+++ b/crates/daemon/src/platform_runtime/list_watch.rs
@@ -31,7 +31,7 @@
         if self.watch.should_dial(now) {
             let conn = self.event_loop.dial(address, &Security::Plain, BufferLimits::default()).ok();
             if let Some(conn) = conn {
-                let revision = self.platform.list_revision();
+                let revision = self.platform.watch_revision();
                 let request = endpoint_list::watch_request(&address.to_string(), revision);
                 self.event_loop.write(conn, &request);
             }
--- a/crates/platform-protocol/src/endpoint_list.rs
+++ b/crates/platform-protocol/src/endpoint_list.rs
@@ -70,8 +70,10 @@
     /// The revision up to which all changes are held; older than `revision` while an entry that could not be read is to
     /// be asked for again.
     complete_revision: u64,
-    /// Whether the changes since `complete_revision` are to be asked for again.
+    /// Whether the changes since `watch_revision()` are to be asked for again.
     must_reread: bool,
+    /// Whether the complete list is wanted, whatever revision is held.
+    wants_complete: bool,
     /// Lines and entries that could not be used.
     pub malformed: u64,
     addresses: BTreeMap<ServerId, SocketAddr>,
@@ -113,9 +115,11 @@
             self.outdated_since.get_or_insert(now);
             return Ok(None);
         }
-        self.outdated_since = None;
         self.unreadable_lines = 0;
-        let is_repeated = header.revision == self.revision && self.complete_revision == self.revision;
+        let is_repeated = header.revision == self.revision
+            && self.complete_revision == self.revision
+            && !self.wants_complete;
+        self.end_outdated_period(header.is_complete);
         if is_repeated && !header.is_complete && source == ListSource::Watch {
             return Ok(None);
         }
@@ -149,12 +153,33 @@
         }
     }
 
-    /// The revision from which on changes are to be asked for.
+    /// An agent that lagged and one that has reset its revisions and counted up to the held one look alike, and the second
+    /// one's changes were taken for old ones: the complete list tells.
+    fn end_outdated_period(&mut self, is_complete: bool) {
+        let was_outdated = self.outdated_since.take().is_some();
+        if is_complete {
+            self.wants_complete = false;
+        } else if was_outdated {
+            self.wants_complete = true;
+            self.must_reread = true;
+        }
+    }
+
+    /// The revision up to which all changes are held.
     pub fn complete_revision(&self) -> u64 {
         self.complete_revision
     }
 
-    /// Whether the changes since [`EndpointList::complete_revision`] are to be asked for again; true once.
+    /// The revision from which on changes are to be asked for; 0 for the complete list.
+    pub fn watch_revision(&self) -> u64 {
+        if self.wants_complete {
+            0
+        } else {
+            self.complete_revision
+        }
+    }
+
+    /// Whether the changes since [`EndpointList::watch_revision`] are to be asked for again; true once.
     pub fn take_must_reread(&mut self) -> bool {
         std::mem::take(&mut self.must_reread)
     }
--- a/crates/platform-protocol/src/platform.rs
+++ b/crates/platform-protocol/src/platform.rs
@@ -112,13 +112,18 @@
         &self.names.load_metrics
     }
 
-    /// The revision up to which all changes of the endpoint list are held: the watch asks for those after it.
+    /// The revision that the watch asks from; 0 for the complete list.
+    pub fn watch_revision(&self) -> u64 {
+        self.list.watch_revision()
+    }
+
+    /// The revision up to which all changes of the endpoint list are held.
     pub fn list_revision(&self) -> u64 {
         self.list.complete_revision()
     }
 
-    /// Whether the watch is to be asked again for what follows [`Platform::list_revision`], since an entry of the last
-    /// line could not be read; true once.
+    /// Whether the watch is to be asked again for what follows [`Platform::watch_revision`], since the last line leaves
+    /// open what is missing; true once.
     #[must_use]
     pub fn take_must_reread_list(&mut self) -> bool {
         self.list.take_must_reread()
--- a/crates/platform-protocol/src/tests/endpoint_list.rs
+++ b/crates/platform-protocol/src/tests/endpoint_list.rs
@@ -175,3 +175,29 @@
 
     assert!(lines.is_empty() && watch.is_complete());
 }
+
+/// Guards against changes that are lost when an agent resets its revisions and counts up to the held one within the time
+/// that it may lag.
+#[test]
+fn an_agent_that_catches_up_is_asked_for_the_complete_list() {
+    let mut platform = platform();
+    // Revisions begin anew at 38; the change to 40 is not the one that was held as 40.
+    receive_list(&mut platform, 38, &[member("s-1", "SERVING")], START);
+    receive_changes(&mut platform, 39, &[member("s-2", "DELETED")], START + ms(100));
+    assert!(!platform.take_must_reread_list());
+    receive_changes(&mut platform, 40, &[member("s-1", "DRAINING")], START + ms(200));
+
+    assert!(platform.take_must_reread_list());
+    assert_eq!((platform.watch_revision(), platform.list_revision()), (0, 40));
+
+    // An agent that keeps all changes answers with those since the beginning.
+    receive_changes(&mut platform, 40, &[member("s-1", "DRAINING")], START + ms(500));
+    assert_eq!(platform.list_events.len(), 1);
+
+    receive_list(&mut platform, 40, &[member("s-1", "DRAINING")], START + ms(600));
+    let Some(Event::EndpointsListed { update, records }) = platform.list_events.last() else {
+        panic!("no list")
+    };
+    assert_eq!((*update, records.len()), (EndpointUpdate::Snapshot, 1));
+    assert_eq!((platform.watch_revision(), platform.take_must_reread_list()), (40, false));
+}
