Revisions of the endpoint list in a module of their own

Cause: the mends of malformed entries and of reset revisions left endpoint_list.rs with seven fields on revisions among its servers, and two jobs: what a list's entries mean, and what of the list is held and asked for again. No behaviour changes.

--- a/crates/platform-protocol/src/endpoint_list.rs
+++ b/crates/platform-protocol/src/endpoint_list.rs
@@ -2,6 +2,7 @@
 //!
 //! This module is the only one that knows the wire's field names of lists.
 
+use crate::list_revisions::{ListAge, ListRevisions};
 use crate::watch_reader::UnreadableWatch;
 use crate::NameRegistry;
 use runloom_controller::{EndpointRecord, EndpointUpdate, IdMap, ListedState, ServerId};
@@ -10,10 +11,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// An agent may lag behind another by this long. Older versions for longer mean that versions were reset.
-const MAX_AGENT_LAG: Duration = Duration::from_secs(6);
-/// An unreadable line or entry is asked for again this often in a row before it is skipped.
-const MAX_LINE_RETRIES: u32 = 3;
 /// The longest id, zone, kind or address, bytes.
 const MAX_NAME_BYTES: usize = 128;
 /// Zones, and kinds, that are told apart; further ones count as the first.
@@ -65,26 +62,12 @@
 /// The list as this planner holds it.
 #[derive(Debug, Default)]
 pub struct EndpointList {
-    /// The newest revision of which anything is held.
-    pub revision: u64,
-    /// The revision up to which all changes are held; older than `revision` while an entry that could not be read is to
-    /// be asked for again.
-    complete_revision: u64,
-    /// Whether the changes since `watch_revision()` are to be asked for again.
-    must_reread: bool,
-    /// Whether the complete list is wanted, whatever revision is held.
-    wants_complete: bool,
+    revisions: ListRevisions,
     /// Lines and entries that could not be used.
     pub malformed: u64,
     addresses: BTreeMap<ServerId, SocketAddr>,
     /// The last record of each server that is listed.
     records: BTreeMap<ServerId, EndpointRecord>,
-    /// Since when only older revisions have been received.
-    outdated_since: Option<Duration>,
-    /// Lines in a row that could not be read.
-    unreadable_lines: u32,
-    /// Lists in a row with an entry that could not be read.
-    unreadable_entry_lists: u32,
     /// The controller's time zero in Unix time, milliseconds.
     epoch_ms: u64,
 }
@@ -110,23 +93,18 @@
         now: Duration,
     ) -> Result<Option<ListUpdate>, UnreadableWatch> {
         let header = ListHeader::parse(list).ok_or(UnreadableWatch)?;
-        // An older revision, as a lagging agent may send it, would bring back servers that drain or are gone.
-        if header.revision < self.revision {
-            self.outdated_since.get_or_insert(now);
-            return Ok(None);
-        }
-        self.unreadable_lines = 0;
-        let is_repeated = header.revision == self.revision
-            && self.complete_revision == self.revision
-            && !self.wants_complete;
-        self.end_outdated_period(header.is_complete);
-        if is_repeated && !header.is_complete && source == ListSource::Watch {
-            return Ok(None);
+        match self.revisions.receive(header.revision, header.is_complete, now) {
+            ListAge::Older => return Ok(None),
+            ListAge::Held if !header.is_complete && source == ListSource::Watch => return Ok(None),
+            ListAge::Held | ListAge::New => {}
         }
-        self.revision = header.revision;
         let malformed_before = self.malformed;
         let records = self.parse_members(&header, names);
-        self.update_complete_revision(header.revision, source, self.malformed > malformed_before);
+        let has_malformed_entry = self.malformed > malformed_before;
+        match source {
+            ListSource::Cache => self.revisions.accept_cached(header.revision, has_malformed_entry),
+            ListSource::Watch => self.revisions.accept(header.revision, has_malformed_entry),
+        }
         self.store_records(&records, header.is_complete);
         let update = match source {
             ListSource::Cache => EndpointUpdate::Cached,
@@ -136,52 +114,19 @@
         Ok(Some(ListUpdate { update, records: records.into_values().collect() }))
     }
 
-    /// An entry that could not be read may hold a drain: the revision that is asked from stays before it, until it was
-    /// asked for often enough.
-    fn update_complete_revision(&mut self, revision: u64, source: ListSource, has_malformed_entry: bool) {
-        match source {
-            // The watch starts after this: from the beginning, if something is missing.
-            ListSource::Cache if has_malformed_entry => {}
-            ListSource::Watch if has_malformed_entry && self.unreadable_entry_lists < MAX_LINE_RETRIES => {
-                self.unreadable_entry_lists += 1;
-                self.must_reread = true;
-            }
-            _ => {
-                self.unreadable_entry_lists = 0;
-                self.complete_revision = revision;
-            }
-        }
-    }
-
-    /// An agent that lagged and one that has reset its revisions and counted up to the held one look alike, and the second
-    /// one's changes were taken for old ones: the complete list tells.
-    fn end_outdated_period(&mut self, is_complete: bool) {
-        let was_outdated = self.outdated_since.take().is_some();
-        if is_complete {
-            self.wants_complete = false;
-        } else if was_outdated {
-            self.wants_complete = true;
-            self.must_reread = true;
-        }
-    }
-
     /// The revision up to which all changes are held.
     pub fn complete_revision(&self) -> u64 {
-        self.complete_revision
+        self.revisions.complete()
     }
 
     /// The revision from which on changes are to be asked for; 0 for the complete list.
     pub fn watch_revision(&self) -> u64 {
-        if self.wants_complete {
-            0
-        } else {
-            self.complete_revision
-        }
+        self.revisions.watch_from()
     }
 
     /// Whether the changes since [`EndpointList::watch_revision`] are to be asked for again; true once.
     pub fn take_must_reread(&mut self) -> bool {
-        std::mem::take(&mut self.must_reread)
+        self.revisions.take_must_reread()
     }
 
     /// Whether a server is on the list.
@@ -229,11 +174,7 @@
     /// Notes a line that could not be read: an error while it is to be asked for again.
     pub fn note_unreadable_line(&mut self) -> Result<(), UnreadableWatch> {
         self.malformed += 1;
-        self.unreadable_lines += 1;
-        if self.unreadable_lines > MAX_LINE_RETRIES {
-            return Ok(());
-        }
-        Err(UnreadableWatch)
+        self.revisions.note_unreadable_line()
     }
 
     /// Forgets a server whose index may be assigned again.
@@ -246,18 +187,12 @@
     /// returns whether it did.
     #[must_use]
     pub fn reset_outdated_revision(&mut self, read_until: Duration) -> bool {
-        let is_reset = self.next_timeout().is_some_and(|timeout| read_until >= timeout);
-        if is_reset {
-            self.outdated_since = None;
-            self.revision = 0;
-            self.complete_revision = 0;
-        }
-        is_reset
+        self.revisions.reset_outdated(read_until)
     }
 
     /// When the revision may be reset.
     pub fn next_timeout(&self) -> Option<Duration> {
-        self.outdated_since.map(|since| since + MAX_AGENT_LAG)
+        self.revisions.next_timeout()
     }
 
     /// The record of one entry; `None` for the removal of a server that is not known.
--- a/crates/platform-protocol/src/lib.rs
+++ b/crates/platform-protocol/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod framing;
 pub mod health_check;
 mod index_release;
+mod list_revisions;
 pub mod message;
 mod message_handler;
 mod name_registry;
