A limit on file size stops the record, and no longer ends the planner

What callers saw: a planner whose record or state folder meets a limit on file size was ended by SIGXFSZ.

Cause: a write beyond the limit sends SIGXFSZ, whose default action ends the process. A full disk is an error of the write alone, which stops the record and nothing else.

Change: `planner` and `forwarder` handle the signal; the write fails with EFBIG, and recorder and store treat it as any other error.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -6,9 +6,10 @@
 use crate::settings::{self, InvalidFile, Settings};
 use crate::wall_ms;
 use runloom_event_loop::EventLoop;
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGXFSZ};
 use std::io;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Why a planner or a proxy could not be started, or ended otherwise than by a signal.
 #[derive(Debug, thiserror::Error)]
@@ -42,6 +43,8 @@
     for signal in [SIGHUP, SIGTERM, SIGINT] {
         event_loop.signal(signal)?;
     }
+    // A write beyond a limit on file size becomes an error of that write. The flag is not read.
+    signal_hook::flag::register(SIGXFSZ, Arc::default())?;
     Ok(event_loop)
 }
 
--- a/crates/daemon/tests/signals.rs
+++ b/crates/daemon/tests/signals.rs
@@ -129,10 +129,8 @@
     line.split(' ').nth(1).unwrap().parse().unwrap()
 }
 
-/// Guards against a planner that ends on SIGHUP, the signal's default.
-#[test]
-fn a_planner_reads_certificates_again_on_sighup_and_goes_on() {
-    let folder = Folder::new("planner");
+/// A planner, and where operators connect.
+fn start_planner(folder: &Folder) -> (Process, SocketAddr) {
     let tls = folder.issue(&["p", "planner.runloom"]);
     let state = folder.file("state");
     let settings = folder.file("planner.xml");
@@ -142,8 +140,26 @@
         state.display()
     );
     std::fs::write(&settings, text).unwrap();
-    let mut planner = Process::start("planner", &settings);
+    let planner = Process::start("planner", &settings);
     let address = address_in(&planner.wait_for("edits "));
+    (planner, address)
+}
+
+/// Guards against a planner that ends on SIGHUP, the signal's default.
+#[test]
+fn a_planner_reads_certificates_again_on_sighup_and_goes_on() {
+    let folder = Folder::new("planner");
+    let (mut planner, address) = start_planner(&folder);
+    planner.check_signals(address);
+}
+
+/// Guards against a planner that ends when a file of its record or state meets a limit on file size: a write beyond it
+/// sends SIGXFSZ, whose default is the end of the process.
+#[test]
+fn a_limit_on_file_size_does_not_end_a_planner() {
+    let folder = Folder::new("limit");
+    let (mut planner, address) = start_planner(&folder);
+    planner.signal("XFSZ");
     planner.check_signals(address);
 }
 
