An entry too large for a reader is a counted loss, not an unreadable frame

What callers saw: a record whose entry is over 16 MiB can't be read from there on; the entry is not counted as lost.

Cause: framing::decode_frame accepts 16 MiB, append_frame wrote any size.

Change: append_frame rejects it with a typed error, and the recorder counts it, as it does for one that can't be encoded.

Measured: the test failed before (0 lost entries for 1) and passes.

--- a/crates/event-log/src/framing.rs
+++ b/crates/event-log/src/framing.rs
@@ -24,6 +24,17 @@
     UnknownVersion(u32),
 }
 
+/// An entry that cannot be appended.
+#[derive(Debug, thiserror::Error)]
+pub enum AppendError {
+    /// It cannot be encoded.
+    #[error(transparent)]
+    Encode(#[from] postcard::Error),
+    /// It has more bytes than a reader accepts.
+    #[error("the entry has {0} bytes, a journal takes {MAX_ENTRY_SIZE}")]
+    TooLarge(usize),
+}
+
 /// A journal as it was read.
 #[derive(Debug, Default, PartialEq)]
 pub struct DecodedJournal {
@@ -54,21 +65,31 @@
 }
 
 /// Appends the frame of an entry; on failure `out` is unchanged.
-pub fn append_frame(entry: &Entry, out: &mut Vec<u8>) -> Result<(), postcard::Error> {
+pub fn append_frame(entry: &Entry, out: &mut Vec<u8>) -> Result<(), AppendError> {
     let begin = out.len();
     let body = begin + FRAME_PREFIX_SIZE;
     out.extend_from_slice(&[0; FRAME_PREFIX_SIZE]);
-    if let Err(e) = postcard::to_io(entry, &mut *out) {
+    let encoded = postcard::to_io(entry, &mut *out).map_err(AppendError::from).map(|_| ());
+    let size = out.len() - body;
+    let result = encoded.and_then(|()| check_entry_size(size));
+    if result.is_err() {
         out.truncate(begin);
-        return Err(e);
+        return result;
     }
-    let length = (out.len() - body) as u32;
     let checksum = crc32fast::hash(&out[body..]);
-    out[begin..begin + FIELD_SIZE].copy_from_slice(&length.to_le_bytes());
+    out[begin..begin + FIELD_SIZE].copy_from_slice(&(size as u32).to_le_bytes());
     out[begin + FIELD_SIZE..body].copy_from_slice(&checksum.to_le_bytes());
     Ok(())
 }
 
+fn check_entry_size(size: usize) -> Result<(), AppendError> {
+    if size <= MAX_ENTRY_SIZE {
+        Ok(())
+    } else {
+        Err(AppendError::TooLarge(size))
+    }
+}
+
 /// Reads a journal up to its first frame that is incomplete or corrupt.
 pub fn decode_journal(bytes: &[u8]) -> Result<DecodedJournal, JournalError> {
     if bytes.len() < HEADER_SIZE {
--- a/crates/event-log/src/tests/recorder.rs
+++ b/crates/event-log/src/tests/recorder.rs
@@ -114,3 +114,20 @@
     recorder.finish(Duration::from_secs(61));
     assert_eq!(read_run(&folder.0, 0).unwrap().len(), 2);
 }
+
+/// Guards against an entry that is written and cannot be read, with those behind it: it is larger than a reader accepts.
+#[test]
+fn an_entry_that_is_too_large_is_a_loss_and_the_others_are_read() {
+    let folder = TestFolder::new("large");
+    let mut recorder = Recorder::open(&folder.0, RecorderConfig::default()).unwrap();
+    let small = RecordedEvent::ProxyDisconnected { proxy: "f1".into() };
+    let large = RecordedEvent::ProxyDisconnected { proxy: "f".repeat(17 << 20) };
+    for event in [small.clone(), large, small.clone()] {
+        recorder.push(Duration::ZERO, event);
+    }
+    assert_eq!(recorder.lost_entries(), 1);
+    recorder.finish(Duration::ZERO);
+    let run: Vec<RecordedEvent> =
+        read_run(&folder.0, 0).unwrap().into_iter().map(|entry| entry.event).collect();
+    assert_eq!(run, [small.clone(), RecordedEvent::EntriesLost { entries: 1 }, small]);
+}
