--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod planner_process;
 pub mod rule_checker;
 pub mod scenario;
+pub mod soak;
 pub mod testbed;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -4,6 +4,7 @@
 use runloom_daemon::planner_runtime::{CrashPoint, TestHooks};
 use runloom_testbed::management_clients::EditOutcome;
 use runloom_testbed::scenario::{self, DeliveryMode, Scenario};
+use runloom_testbed::soak::{self, SoakOptions};
 use runloom_testbed::testbed::{ScenarioOutcome, Testbed};
 use runloom_testbed::{benchmarks, command_corruption};
 use std::path::{Path, PathBuf};
@@ -45,6 +46,8 @@
         #[arg(long, default_value_t = 5)]
         seed: u64,
     },
+    /// Plays seeded runs of restarts, signals, crowds and misbehaving lists against the built `runloom platform`, and checks them from the sockets. Exit code 1 if a check failed.
+    Soak(SoakArguments),
     /// Prints the digest of an event log's commands, replayed.
     #[command(hide = true)]
     Again { folder: PathBuf, back: usize },
@@ -100,6 +103,29 @@
     identity_seconds: Option<u64>,
 }
 
+#[derive(Args)]
+struct SoakArguments {
+    /// The seeds to play, such as 1..50.
+    #[arg(long, value_parser = parse_seeds, default_value = "1..50")]
+    seeds: (u64, u64),
+    /// Runs at a time.
+    #[arg(long, default_value_t = 3)]
+    jobs: usize,
+    /// The built program; by default the one beside this one.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Logs of the processes stay here; by default in a temporary folder.
+    #[arg(long)]
+    keep: Option<PathBuf>,
+}
+
+/// Reads seeds as `first..last`, both included.
+fn parse_seeds(text: &str) -> Result<(u64, u64), String> {
+    let (first, last) = text.split_once("..").unwrap_or((text, text));
+    let number = |text: &str| text.parse::<u64>().map_err(|e| format!("{text}: {e}"));
+    Ok((number(first)?, number(last)?))
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let is_planner = matches!(arguments.command, Command::Planner { .. });
@@ -129,6 +155,7 @@
         }),
         Command::Day(arguments) => play_day(arguments),
         Command::Measure { name, keep, seed } => measure(&name, keep, seed),
+        Command::Soak(arguments) => run_soak(arguments),
         Command::Again { folder, back } => print_replay_digest(&folder, back),
         Command::Writes { folder } => benchmarks::write_until_killed(&folder).map(|()| true),
         Command::Planner { settings, seed, crash_point, corruption, unguarded } => {
@@ -142,6 +169,18 @@
     }
 }
 
+fn run_soak(arguments: SoakArguments) -> Result<bool, String> {
+    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+    let (first_seed, last_seed) = arguments.seeds;
+    soak::soak(&SoakOptions {
+        program: arguments.program.unwrap_or_else(|| own.with_file_name("runloom")),
+        first_seed,
+        last_seed,
+        jobs: arguments.jobs,
+        folder: arguments.keep.unwrap_or_else(|| std::env::temp_dir().join("runloom-soak")),
+    })
+}
+
 fn play_day(arguments: DayArguments) -> Result<bool, String> {
     let scenario = read_with_fleet(&arguments.file, arguments.fleet)?;
     play(DayRun {
