--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -1,7 +1,7 @@
 //! Soak of the built `runloom platform`: seeded runs of restarts, signals, moved discovery, floods of unidentified clients and lists
 //! that misbehave, checked from the sockets alone.
 //!
-//! Each seed draws a [`plan::RunPlan`], which [`run::play`] plays against one process after the other at one address.
+//! Each seed draws a plan, which is played against one process after the other at one address.
 
 mod checker;
 mod discovery_agent;
