Review case 2: restarted planners leave proxies with removed servers

Cause: where only drains bind, a proxy with a table waits for two ticks with reports, and a drain that has ended by then is forgotten.

--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -289,6 +289,12 @@
         self.is_stopping = True
         self.world.record.note("signal", planner=self.name, signal=signal.Signals(number).name)
         self.known = self.agent.held()
+        if number == signal.SIGTERM:
+            # PROTOCOL.md: once SIGTERM arrives, proxies go elsewhere.
+            others = [planner for planner in self.world.planners if planner.is_up]
+            for proxy in self.world.proxies:
+                if proxy.home is self and others:
+                    proxy.home = self.world.rng.choice(others)
         try:
             process.send_signal(number)
             await asyncio.wait_for(process.wait(), 0.7)
@@ -390,10 +396,13 @@
             await asyncio.sleep(self.world.rng.uniform(*self.world.redial_s))
 
     def choose_planner(self):
-        if self.home.is_up:
-            return self.home
-        others = [planner for planner in self.world.planners if planner.is_up]
-        return self.world.rng.choice(others) if others else None
+        """The planner that it was joined to last, or its own at first; another one if that is down."""
+        if not self.home.is_up:
+            others = [planner for planner in self.world.planners if planner.is_up]
+            if not others:
+                return None
+            self.home = self.world.rng.choice(others)
+        return self.home
 
     async def run_stream(self, planner):
         writer = None
