--- a/review/standin/platform_standin.py
+++ b/review/standin/platform_standin.py
@@ -175,7 +175,8 @@
         self.world.record.note("told", planner=self.planner_name, server=member["id"], phase=member["phase"])
 
     def since(self, revision):
-        if revision == 0 or revision > self.revision or (self.log and revision < self.log[0][0] - 1):
+        oldest = self.log[0][0] - 1 if self.log else self.revision
+        if revision == 0 or not oldest <= revision <= self.revision:
             return self.held()
         changed = {}
         for at, members in self.log:
@@ -721,7 +722,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as error:  # Whatever stops the stand-ins says nothing about the rule.
+    except (Exception, asyncio.CancelledError) as error:  # Whatever stops the stand-ins says nothing about the rule.
         print(f"could not run: {error!r}", file=sys.stderr)
         code = 2
     sys.exit(code)
