Log removals that wait for the update channel, with what they need and what there is

The existing line on a short queue covers only the case in which the overhead of messages cannot be reserved. Reading left several explanations open: no room though nothing is in flight; acknowledgements that never free their room; a list that never arrived; endpoints kept by the panic threshold; a closed message window.

Change: the controller notes since when an endpoint that is out of service is still in a table, and reports it after 2 s and every 10 s (`Command::LogDelayedRemovals`): number, wait, entries in flight, room, and what the cheapest removal needs. The platform counts the reports in `late_removals`, `runloom planner` in `runloom_late_removals_total`. An empty sum of entries in flight was -0; it is 0 now, so that the line prints well.

--- a/crates/adapter/src/translate.rs
+++ b/crates/adapter/src/translate.rs
@@ -204,6 +204,7 @@
                 Output::Log { planner, text: report.log_line(&report.server.to_string()) }
             }
             Command::LogQueueShortage(shortage) => Output::Log { planner, text: shortage.log_line() },
+            Command::LogDelayedRemovals(delay) => Output::Log { planner, text: delay.log_line() },
         })
     }
 
--- a/crates/control-session/src/execution.rs
+++ b/crates/control-session/src/execution.rs
@@ -88,6 +88,10 @@
             Command::LogQueueShortage(shortage) => {
                 execution.actions.push(Action::Log { text: shortage.log_line() });
             }
+            Command::LogDelayedRemovals(delay) => {
+                self.delayed_removals += 1;
+                execution.actions.push(Action::Log { text: delay.log_line() });
+            }
             // Endpoint lists arrive without a request, and a planner has no peers.
             Command::WatchEndpoints { .. } | Command::FetchEndpoints | Command::SendToPeer { .. } => {}
         }
@@ -156,6 +160,7 @@
             | Command::SetTimer { .. }
             | Command::LogEjection(_)
             | Command::LogQueueShortage(_)
+            | Command::LogDelayedRemovals(_)
     )
 }
 
--- a/crates/control-session/src/session.rs
+++ b/crates/control-session/src/session.rs
@@ -66,6 +66,8 @@
     pub messages_sent: u64,
     /// Largest number of queued entries since the start, as counted by [`ControlSession::queued_entries`].
     pub max_queued_entries: usize,
+    /// Reports of removals that waited long for the update channel, since the start.
+    pub delayed_removals: u64,
     pub(crate) guard: SafetyGuard,
     pub(crate) fleet: Fleet,
     pub(crate) endpoints: EndpointDirectory,
@@ -99,6 +101,7 @@
             entries_sent: 0,
             messages_sent: 0,
             max_queued_entries: 0,
+            delayed_removals: 0,
             guard: SafetyGuard::new(GuardConfig::of(&config)),
             endpoints: EndpointDirectory::default(),
             tables: PublishedTables::default(),
--- a/crates/controller/src/command.rs
+++ b/crates/controller/src/command.rs
@@ -1,5 +1,6 @@
 //! Commands: what the controller asks its caller to do.
 
+use crate::delayed_removals::DelayedRemovals;
 use crate::ejection_report::EjectionReport;
 use crate::event::{ClassId, ProxyId, ServerId, TableId};
 use crate::queue_shortage::QueueShortage;
@@ -95,4 +96,6 @@
     LogEjection(EjectionReport),
     /// Reports to the operators that the queue of the update channel is too small for changes.
     LogQueueShortage(QueueShortage),
+    /// Reports to the operators that removals of endpoints have waited for long.
+    LogDelayedRemovals(DelayedRemovals),
 }
--- a/crates/controller/src/endpoint.rs
+++ b/crates/controller/src/endpoint.rs
@@ -96,6 +96,8 @@
     pub subset: Option<usize>,
     /// The entry that proxies hold for it; `None` for none.
     pub published: Option<TableEntry>,
+    /// Since when its removal from the tables is due; `None` if it is in service or in no table.
+    pub removal_due_at: Option<Duration>,
 }
 
 impl Endpoint {
--- a/crates/controller/src/flow_control.rs
+++ b/crates/controller/src/flow_control.rs
@@ -26,6 +26,8 @@
     pub available_entries: f64,
     /// Whether the present shortage of the queue was reported to the operators.
     pub has_logged_shortage: bool,
+    /// When delayed removals were last reported to the operators; `None` if none are delayed.
+    pub delay_logged_at: Option<Duration>,
     /// While an update is composed: the proxies that get a message.
     pub recipients: BTreeSet<ProxyId>,
 }
@@ -41,7 +43,7 @@
 
     /// Table entries in flight, message overhead included.
     pub fn queued_entries(&self) -> f64 {
-        self.in_flight.iter().map(|update| update.entries).sum()
+        self.in_flight.iter().fold(0.0, |sum, update| sum + update.entries)
     }
 
     /// Records an acknowledgement; an unknown token is ignored.
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod command;
 pub mod config;
 pub mod controller;
+pub mod delayed_removals;
 pub mod ejection_report;
 pub mod endpoint;
 pub mod endpoint_list;
@@ -44,6 +45,7 @@
 pub use command::Command;
 pub use config::DeploymentConfig;
 pub use controller::Controller;
+pub use delayed_removals::DelayedRemovals;
 pub use ejection_report::EjectionReport;
 pub use event::{
     ClassId, EndpointRecord, EndpointUpdate, Event, HealthCheckResult, KindId, ListedState, ProxyId,
--- a/crates/controller/src/publication.rs
+++ b/crates/controller/src/publication.rs
@@ -3,6 +3,7 @@
 use crate::admission_control::ClassAdmission;
 use crate::command::Command;
 use crate::controller::Controller;
+use crate::delayed_removals::DelayedRemovals;
 use crate::endpoint::{slot, Endpoint, HealthState, TableEntry};
 use crate::event::{ProxyId, ServerId};
 use crate::queue_shortage::QueueShortage;
@@ -39,6 +40,11 @@
 /// reports: by then the list has been compared with the reports.
 const TICKS_UNTIL_LIST_IS_CHECKED: u32 = 2;
 
+/// A removal that has been due for this long is reported to the operators.
+const MAX_REMOVAL_DELAY: Duration = Duration::from_secs(2);
+/// Time between two reports, as long as removals stay delayed.
+const REMOVAL_DELAY_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// What may be sent at this evaluation, and what messages cost.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UpdateWindow {
@@ -82,8 +88,14 @@
 }
 
 impl Controller {
-    /// Publishes what changed: removals first, then other entries, admission limits and table assignments.
+    /// Publishes what changed, and reports removals that still wait after a long time.
     pub(crate) fn publish(&mut self, is_tick: bool, commands: &mut Vec<Command>) {
+        self.publish_changes(is_tick, commands);
+        self.log_delayed_removals(commands);
+    }
+
+    /// Publishes what changed: removals first, then other entries, admission limits and table assignments.
+    fn publish_changes(&mut self, is_tick: bool, commands: &mut Vec<Command>) {
         let connected = self.proxies.iter().filter(|proxy| proxy.is_connected).count() as f64;
         let queue_limit = self.config.channel.queue_limit.unwrap_or(DEFAULT_QUEUE_LIMIT);
         let message_cost = self.config.channel.message_overhead + 1.0;
@@ -93,6 +105,7 @@
         let is_reservable = message_cost * connected <= room + first_table_reserve;
         let reserved = if is_reservable { message_cost * connected } else { 0.0 };
         let available = room - self.channel.queued_entries() - reserved;
+        self.channel.available_entries = available;
         if connected < 1.0 || available + first_table_reserve < 0.0 {
             return;
         }
@@ -106,7 +119,6 @@
         if window.is_regular || self.admission.isolated_classes != 0 {
             self.isolate_classes();
         }
-        self.channel.available_entries = available;
         self.channel.recipients.clear();
         if window.is_open {
             self.publish_entries(&window, commands);
@@ -148,6 +160,37 @@
         self.channel.has_logged_shortage = is_short;
     }
 
+    /// Reports to the operators that removals have been due for long, again and again as long as some are.
+    fn log_delayed_removals(&mut self, commands: &mut Vec<Command>) {
+        let (now, proxies) = (self.now, self.proxies.iter().filter(|proxy| proxy.is_connected).count());
+        let message_cost = self.config.channel.message_overhead + 1.0;
+        let mut delay = DelayedRemovals {
+            endpoints: 0,
+            waited: Duration::ZERO,
+            required_entries: f64::INFINITY,
+            available_entries: self.channel.available_entries,
+            queued_entries: self.channel.queued_entries(),
+            proxies,
+        };
+        for endpoint in &mut self.endpoints {
+            let published = endpoint.published.filter(|_| proxies > 0 && !endpoint.is_in_service());
+            endpoint.removal_due_at = published.map(|_| endpoint.removal_due_at.unwrap_or(now));
+            let (Some(entry), Some(due_at)) = (published, endpoint.removal_due_at) else { continue };
+            let cost = self.subsets[subset_of(entry.table)].proxy_count * (1.0 + message_cost);
+            delay.endpoints += 1;
+            delay.waited = delay.waited.max(now - due_at);
+            delay.required_entries = delay.required_entries.min(cost);
+        }
+        if delay.waited < MAX_REMOVAL_DELAY {
+            self.channel.delay_logged_at = None;
+            return;
+        }
+        if self.channel.delay_logged_at.is_none_or(|at| now >= at + REMOVAL_DELAY_LOG_INTERVAL) {
+            self.channel.delay_logged_at = Some(now);
+            commands.push(Command::LogDelayedRemovals(delay));
+        }
+    }
+
     /// Records the messages of this update as in flight and requests their acknowledgement.
     fn request_ack(&mut self, available: f64, window: &UpdateWindow, commands: &mut Vec<Command>) {
         let recipients = std::mem::take(&mut self.channel.recipients);
--- a/crates/controller/src/tests.rs
+++ b/crates/controller/src/tests.rs
@@ -2,6 +2,7 @@
 
 mod admission_control;
 mod controller;
+mod delayed_removals;
 mod endpoint;
 mod endpoint_list;
 mod flow_control;
--- a/crates/daemon/src/planner_runtime/metrics_endpoint.rs
+++ b/crates/daemon/src/planner_runtime/metrics_endpoint.rs
@@ -101,6 +101,7 @@
     gauge("runloom_messages_flying", core.distributor.publisher().messages_in_flight() as f64);
     gauge("runloom_lines_waiting", core.control.queued_entries() as f64);
     gauge("runloom_lines_waiting_most", core.control.max_queued_entries as f64);
+    metrics::counter!("runloom_late_removals_total").absolute(core.control.delayed_removals);
     metrics::counter!("runloom_lines_sent_total").absolute(core.control.entries_sent);
     metrics::counter!("runloom_messages_sent_total").absolute(core.control.messages_sent);
 }
--- a/crates/platform-protocol/src/counters.rs
+++ b/crates/platform-protocol/src/counters.rs
@@ -28,6 +28,8 @@
     pub list_updates: u64,
     /// The longest time from a proxy's connection to its first acknowledgement.
     pub longest_table_wait: Duration,
+    /// Reports of removals that waited long for the update channel.
+    pub delayed_removals: u64,
 }
 
 impl fmt::Display for Counters {
@@ -44,6 +46,7 @@
             .field("messages", &self.updates_sent)
             .field("lists", &self.list_updates)
             .field("longest_wait", &self.longest_table_wait)
+            .field("late_removals", &self.delayed_removals)
             .finish()
     }
 }
--- a/crates/platform-protocol/src/platform.rs
+++ b/crates/platform-protocol/src/platform.rs
@@ -232,6 +232,10 @@
                 Command::LogQueueShortage(shortage) => {
                     self.actions.push(Action::Log { text: shortage.log_line() });
                 }
+                Command::LogDelayedRemovals(delay) => {
+                    self.counters.delayed_removals += 1;
+                    self.actions.push(Action::Log { text: delay.log_line() });
+                }
                 Command::CheckHealth { server } => self.check_health(server),
                 // Table commands were applied above. The watch delivers changes without being asked, and planners on
                 // the platform have no channel to each other.
--- a/crates/platform-protocol/src/tests/platform.rs
+++ b/crates/platform-protocol/src/tests/platform.rs
@@ -309,12 +309,13 @@
         updates_sent: 8,
         list_updates: 9,
         longest_table_wait: ms(10),
+        delayed_removals: 11,
     };
 
     let printed = counters.to_string();
 
     let expected =
         "Counters { joined: 1, taken_over: 2, left: 3, mute: 4, refused: 5, spoilt: 6, stray_marks: 7, \
-                    messages: 8, lists: 9, longest_wait: 10ms }";
+                    messages: 8, lists: 9, longest_wait: 10ms, late_removals: 11 }";
     assert_eq!(printed, expected);
 }
