Charge message overhead for the proxies that get a message, not for all

What callers saw: a planner that took over the proxies of a killed one published no removal any more. Weights and admission limits stood still as well.

Cause: `publish` reserved the overhead of a message to every connected proxy, as long as that fitted into three quarters of the queue, but let entries use one half. From 3/8 of the queue to 3/4 of it the reserve left less than no room for an entry, whatever was in flight.

Fix: one rule for all sizes. An update is composed in `UpdateDraft`, which charges the overhead for each proxy that gets a message, and for no other. What is in flight plus the update stays within half of the queue, with first tables within three quarters, as before. A single change that needs more than half may use three quarters while nothing is in flight; only what exceeds that is reported as a queue that is too short.

--- a/crates/controller/src/flow_control.rs
+++ b/crates/controller/src/flow_control.rs
@@ -1,7 +1,7 @@
 //! Flow control: the updates in flight to the proxies, and the room that they leave in the update channel.
 
 use crate::event::ProxyId;
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// The messages of one step, as long as some are not acknowledged.
@@ -22,19 +22,17 @@
     pub last_ack_token: u16,
     /// When entries, admissions or reassignments were last sent; first tables do not count.
     pub last_update: Duration,
-    /// While an update is composed: the entries that there is room for.
-    pub available_entries: f64,
     /// Whether the present shortage of the queue was reported to the operators.
     pub has_logged_shortage: bool,
     /// When delayed removals were last reported to the operators; `None` if none are delayed.
     pub delay_logged_at: Option<Duration>,
-    /// While an update is composed: the proxies that get a message.
-    pub recipients: BTreeSet<ProxyId>,
 }
 
 impl UpdateChannel {
-    /// Records messages that are sent, and returns the token for their acknowledgements.
-    pub fn send(&mut self, entries: f64, pending_acks: BTreeSet<ProxyId>) -> u16 {
+    /// Records messages that are sent, each with its queue entries, and returns the token for their acknowledgements.
+    pub fn send(&mut self, messages: BTreeMap<ProxyId, f64>) -> u16 {
+        let entries = messages.values().sum();
+        let pending_acks = messages.into_keys().collect();
         self.last_ack_token = self.last_ack_token.wrapping_add(1);
         let ack_token = self.last_ack_token;
         self.in_flight.push_back(InFlightUpdate { ack_token, entries, pending_acks });
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod speed_estimation;
 mod statistics;
 pub mod subsetting;
+mod update_draft;
 pub mod warm_start;
 
 pub use command::Command;
--- a/crates/controller/src/publication.rs
+++ b/crates/controller/src/publication.rs
@@ -9,17 +9,11 @@
 use crate::queue_shortage::QueueShortage;
 use crate::statistics::is_within;
 use crate::subsetting::{subset_of, table_of, Subset};
-use std::collections::BTreeSet;
+use crate::update_draft::{Priority, UpdateDraft};
 use std::time::Duration;
 
 /// Entries that may wait in the channel if the settings give no limit.
 const DEFAULT_QUEUE_LIMIT: f64 = 500.0;
-/// The share of the queue that stays free, since acknowledgements are delayed and a slow channel is noticed late.
-/// As it is a half, it is also the share that updates may use.
-const RESERVED_QUEUE_SHARE: f64 = 0.5;
-/// The share of the queue, out of the reserve, that first tables may use: the time for which a proxy may be without a
-/// table is limited (`ServiceLimits::max_unserved_seconds`).
-const FIRST_TABLE_QUEUE_SHARE: f64 = 0.25;
 /// The window of the message limit if the settings give none, and the margin that is added to it.
 const DEFAULT_MESSAGE_WINDOW: Duration = Duration::from_secs(10);
 const MESSAGE_WINDOW_MARGIN: Duration = Duration::from_millis(100);
@@ -45,20 +39,13 @@
 /// Time between two reports, as long as removals stay delayed.
 const REMOVAL_DELAY_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
-/// What may be sent at this evaluation, and what messages cost.
+/// What may be sent at this evaluation.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UpdateWindow {
     /// Whether everything that is due is sent: once per tick or, if messages are limited, at even intervals.
     pub is_regular: bool,
     /// Whether the message limit allows changes now. First tables are sent in any case.
     pub is_open: bool,
-    /// Entries that only a proxy's first table may use.
-    pub first_table_reserve: f64,
-    /// Cost of a message beyond its entries (the configured overhead plus 1) if the queue can hold that for all
-    /// proxies: it is reserved before an update is composed. Otherwise 0.
-    pub message_cost: f64,
-    /// The same cost if the queue cannot hold it for all proxies: it is charged for each recipient. Otherwise 0.
-    pub cost_per_recipient: f64,
 }
 
 /// An endpoint whose entry is to change.
@@ -90,85 +77,85 @@
 impl Controller {
     /// Publishes what changed, and reports removals that still wait after a long time.
     pub(crate) fn publish(&mut self, is_tick: bool, commands: &mut Vec<Command>) {
-        self.publish_changes(is_tick, commands);
-        self.log_delayed_removals(commands);
+        let room = self.publish_changes(is_tick, commands);
+        self.log_delayed_removals(room, commands);
     }
 
-    /// Publishes what changed: removals first, then other entries, admission limits and table assignments.
-    fn publish_changes(&mut self, is_tick: bool, commands: &mut Vec<Command>) {
-        let connected = self.proxies.iter().filter(|proxy| proxy.is_connected).count() as f64;
-        let queue_limit = self.config.channel.queue_limit.unwrap_or(DEFAULT_QUEUE_LIMIT);
-        let message_cost = self.config.channel.message_overhead + 1.0;
-        let room = queue_limit * RESERVED_QUEUE_SHARE;
-        let first_table_reserve = queue_limit * FIRST_TABLE_QUEUE_SHARE;
-        // More than the queue holds cannot be reserved: nothing would ever be published.
-        let is_reservable = message_cost * connected <= room + first_table_reserve;
-        let reserved = if is_reservable { message_cost * connected } else { 0.0 };
-        let available = room - self.channel.queued_entries() - reserved;
-        self.channel.available_entries = available;
-        if connected < 1.0 || available + first_table_reserve < 0.0 {
-            return;
-        }
-        let mut window = self.update_window(is_tick, first_table_reserve);
-        if is_reservable {
-            window.message_cost = message_cost;
-        } else {
-            window.cost_per_recipient = message_cost;
+    /// Publishes what changed: removals first, then other entries, admission limits and table assignments. Returns the
+    /// room that is left for changes.
+    fn publish_changes(&mut self, is_tick: bool, commands: &mut Vec<Command>) -> f64 {
+        let mut draft = self.new_draft();
+        if !self.proxies.iter().any(|proxy| proxy.is_connected) {
+            return draft.room(Priority::Regular);
         }
-        self.log_queue_shortage(room, window.cost_per_recipient, commands);
+        let window = self.update_window(is_tick);
+        self.log_queue_shortage(&draft, commands);
         if window.is_regular || self.admission.isolated_classes != 0 {
             self.isolate_classes();
         }
-        self.channel.recipients.clear();
         if window.is_open {
-            self.publish_entries(&window, commands);
+            self.publish_entries(&window, &mut draft, commands);
             if window.is_regular {
-                self.publish_admissions((2.0 + window.cost_per_recipient) * connected, commands);
+                self.publish_admissions(&mut draft, commands);
             }
         }
-        let has_entries = !self.channel.recipients.is_empty();
-        let has_reassigned = self.assign_tables(&window, commands);
+        let has_reassigned = self.assign_tables(&window, &mut draft, commands);
         // Reassignments count as updates: classes that alternate between isolated and shared would otherwise exceed the
         // message limit.
-        if has_entries || has_reassigned {
+        if draft.has_changes() || has_reassigned {
             self.channel.last_update = self.now;
         }
-        self.request_ack(available, &window, commands);
+        let room = draft.room(Priority::Regular);
+        self.request_ack(draft, commands);
+        room
+    }
+
+    /// An empty update.
+    pub(crate) fn new_draft(&self) -> UpdateDraft {
+        let channel = &self.config.channel;
+        UpdateDraft::new(
+            channel.queue_limit.unwrap_or(DEFAULT_QUEUE_LIMIT),
+            channel.message_overhead + 1.0,
+            self.channel.queued_entries(),
+            self.subsets.len(),
+            &self.proxies,
+        )
     }
 
     /// The window of this evaluation. If messages are limited, everything that is due is sent at even intervals, and
     /// some messages of the limit stay unused.
-    fn update_window(&self, is_tick: bool, first_table_reserve: f64) -> UpdateWindow {
+    fn update_window(&self, is_tick: bool) -> UpdateWindow {
         let channel = &self.config.channel;
         let window = channel.message_window.unwrap_or(DEFAULT_MESSAGE_WINDOW) + MESSAGE_WINDOW_MARGIN;
         let interval = window.div_f64((channel.message_limit - SPARE_MESSAGES).max(1.0));
         let is_open = !channel.limits_messages() || self.now >= self.channel.last_update + interval;
         let is_regular = if channel.limits_messages() { is_open } else { is_tick };
-        UpdateWindow { is_regular, is_open, first_table_reserve, message_cost: 0.0, cost_per_recipient: 0.0 }
+        UpdateWindow { is_regular, is_open }
     }
 
     /// Reports to the operators, once per shortage, that a change to all proxies of a table needs more than the queue
     /// ever has room for.
-    fn log_queue_shortage(&mut self, room: f64, cost_per_recipient: f64, commands: &mut Vec<Command>) {
+    fn log_queue_shortage(&mut self, draft: &UpdateDraft, commands: &mut Vec<Command>) {
         let proxies = self.subsets.iter().map(|subset| subset.proxy_count).fold(0.0, f64::max);
-        let required_entries = proxies * (1.0 + cost_per_recipient);
-        let is_short = cost_per_recipient > 0.0 && required_entries > room;
+        let required_entries = proxies * (self.config.channel.message_overhead + 2.0);
+        let available_entries = draft.max_cost();
+        let is_short = required_entries > available_entries;
         if is_short && !self.channel.has_logged_shortage {
-            let shortage = QueueShortage { proxies, required_entries, available_entries: room };
+            let shortage = QueueShortage { proxies, required_entries, available_entries };
             commands.push(Command::LogQueueShortage(shortage));
         }
         self.channel.has_logged_shortage = is_short;
     }
 
     /// Reports to the operators that removals have been due for long, again and again as long as some are.
-    fn log_delayed_removals(&mut self, commands: &mut Vec<Command>) {
+    fn log_delayed_removals(&mut self, available_entries: f64, commands: &mut Vec<Command>) {
         let (now, proxies) = (self.now, self.proxies.iter().filter(|proxy| proxy.is_connected).count());
         let message_cost = self.config.channel.message_overhead + 1.0;
         let mut delay = DelayedRemovals {
             endpoints: 0,
             waited: Duration::ZERO,
             required_entries: f64::INFINITY,
-            available_entries: self.channel.available_entries,
+            available_entries,
             queued_entries: self.channel.queued_entries(),
             proxies,
         };
@@ -192,50 +179,34 @@
     }
 
     /// Records the messages of this update as in flight and requests their acknowledgement.
-    fn request_ack(&mut self, available: f64, window: &UpdateWindow, commands: &mut Vec<Command>) {
-        let recipients = std::mem::take(&mut self.channel.recipients);
-        if recipients.is_empty() {
+    fn request_ack(&mut self, draft: UpdateDraft, commands: &mut Vec<Command>) {
+        let messages = draft.into_messages();
+        if messages.is_empty() {
             return;
         }
-        let used = available - self.channel.available_entries + window.message_cost * recipients.len() as f64;
-        let ack_token = self.channel.send(used, recipients);
+        let ack_token = self.channel.send(messages);
         commands.push(Command::RequestAck { ack_token, all_proxies: false });
     }
 
-    /// Adds the proxies that hold tables of these subsets to the recipients of this update.
-    fn add_recipients(&mut self, subsets: &BTreeSet<usize>) {
-        for (id, proxy) in self.proxies.iter().enumerate() {
-            let holds_changed_table = proxy.subset.is_some_and(|subset| subsets.contains(&subset));
-            if proxy.is_connected && proxy.assigned.is_some() && holds_changed_table {
-                self.channel.recipients.insert(id);
-            }
-        }
-    }
-
     /// Publishes changed entries, the most urgent first, until the channel has no more room.
-    fn publish_entries(&mut self, window: &UpdateWindow, commands: &mut Vec<Command>) {
-        let mut changed_subsets = BTreeSet::new();
+    fn publish_entries(
+        &mut self,
+        window: &UpdateWindow,
+        draft: &mut UpdateDraft,
+        commands: &mut Vec<Command>,
+    ) {
         for change in self.entry_changes(window.is_regular) {
             let published = self.endpoints[change.server].published;
             let removed = published.filter(|old| change.entry.is_none_or(|new| new.table != old.table));
             let removal = removed.map(|old| TableEntry { weight: 0.0, ..old });
             let entries = removal.into_iter().chain(change.entry);
             let subsets = entries.clone().map(|entry| subset_of(entry.table));
-            let cost_per_proxy = |subset: &usize| {
-                if changed_subsets.contains(subset) {
-                    1.0
-                } else {
-                    1.0 + window.cost_per_recipient
-                }
-            };
-            let cost = |subset: usize| self.subsets[subset].proxy_count * cost_per_proxy(&subset);
-            let cost: f64 = subsets.clone().map(cost).sum();
-            if cost > self.channel.available_entries {
+            let cost: f64 = subsets.clone().map(|subset| draft.change_cost(subset, 1.0)).sum();
+            if cost > draft.room(Priority::Regular) {
                 break;
             }
-            self.channel.available_entries -= cost;
+            subsets.for_each(|subset| draft.add_change(subset, 1.0));
             self.endpoints[change.server].published = change.entry;
-            changed_subsets.extend(subsets);
             let server = change.server;
             commands.extend(entries.map(|TableEntry { table, weight }| Command::SetEntry {
                 table,
@@ -243,7 +214,6 @@
                 weight,
             }));
         }
-        self.add_recipients(&changed_subsets);
     }
 
     /// The entries that differ enough from the published ones, the most urgent first.
@@ -261,12 +231,13 @@
         changes
     }
 
-    /// Publishes changed admissions in all tables, at a cost of `cost` entries per class.
-    fn publish_admissions(&mut self, cost: f64, commands: &mut Vec<Command>) {
+    /// Publishes changed admissions in all tables. A proxy has at most two tables.
+    fn publish_admissions(&mut self, draft: &mut UpdateDraft, commands: &mut Vec<Command>) {
         for (class, admission) in self.class_admissions().into_iter().enumerate() {
             let published = slot(&mut self.admission.published, class);
+            let cost: f64 = (0..self.subsets.len()).map(|subset| draft.change_cost(subset, 2.0)).sum();
             if published.is_some_and(|old| is_same_admission(old, admission))
-                || self.channel.available_entries < cost
+                || cost > draft.room(Priority::Regular)
             {
                 continue;
             }
@@ -279,25 +250,27 @@
                 admission_rate,
                 retry_policy,
             }));
-            self.channel.available_entries -= cost;
-            self.add_recipients(&(0..self.subsets.len()).collect());
+            (0..self.subsets.len()).for_each(|subset| draft.add_change(subset, 2.0));
         }
     }
 
     /// Assigns tables to proxies that have none yet and, if the window is open, to those whose isolated classes
     /// changed. Returns whether any proxy was reassigned.
-    pub(crate) fn assign_tables(&mut self, window: &UpdateWindow, commands: &mut Vec<Command>) -> bool {
+    pub(crate) fn assign_tables(
+        &mut self,
+        window: &UpdateWindow,
+        draft: &mut UpdateDraft,
+        commands: &mut Vec<Command>,
+    ) -> bool {
         let mut has_reassigned = false;
         let list_is_unreliable = self.list_is_unreliable();
         for id in 0..self.proxies.len() {
             let proxy = &self.proxies[id];
             let Some(subset) = proxy.subset.filter(|_| proxy.is_connected) else { continue };
             let is_assigned = proxy.assigned.is_some();
-            let is_recipient = self.channel.recipients.contains(&id);
-            let message_cost = if is_recipient { 0.0 } else { window.cost_per_recipient };
-            let cost = self.assignment_cost(subset) + message_cost;
-            let reserve = if is_assigned { 0.0 } else { window.first_table_reserve };
-            let has_room = cost <= self.channel.available_entries + reserve;
+            let entries = self.assignment_entries(subset);
+            let priority = if is_assigned { Priority::Regular } else { Priority::FirstTable };
+            let has_room = draft.assignment_cost(id, entries) <= draft.room(priority);
             let is_up_to_date = proxy.assigned == Some(self.subsets[subset].isolated_classes);
             let must_wait = is_assigned && !window.is_open;
             let has_no_weight = self.subsets[subset].weight <= 0.0;
@@ -306,15 +279,15 @@
                 continue;
             }
             has_reassigned |= is_assigned;
+            draft.add_assignment(id, entries);
             self.assign_table(id, subset, commands);
-            self.channel.available_entries -= cost;
         }
         has_reassigned
     }
 
     /// The exact number of entries that an assignment needs. With an estimate above it, proxies that all connect at
     /// once would wait for their tables longer than the drain grace period.
-    fn assignment_cost(&self, subset: usize) -> f64 {
+    fn assignment_entries(&self, subset: usize) -> f64 {
         let Subset { endpoint_count, isolated_classes, .. } = &self.subsets[subset];
         let tables = if *isolated_classes != 0 { 2.0 } else { 1.0 };
         tables * (1 + endpoint_count + self.admission.published.len()) as f64
@@ -336,7 +309,7 @@
         proxy.assigned.is_none() && (is_early || self.admission.list_is_stale)
     }
 
-    /// Assigns the tables of a subset to a proxy, and makes it a recipient of this update.
+    /// Assigns the tables of a subset to a proxy.
     fn assign_table(&mut self, proxy: ProxyId, subset: usize, commands: &mut Vec<Command>) {
         let isolated_classes = self.subsets[subset].isolated_classes;
         commands.push(Command::AssignTable { proxy, table: table_of(subset, false), class_mask: 0 });
@@ -345,7 +318,6 @@
             commands.push(Command::AssignTable { proxy, table, class_mask: isolated_classes });
         }
         self.proxies[proxy].assigned = Some(isolated_classes);
-        self.channel.recipients.insert(proxy);
     }
 }
 
