Publish admissions table by table, before weights

What callers saw: an overloaded planner with hundreds of proxies kept its admission limits and retry policies as they were: nothing was shed, or too much for too long.

Cause, on the same path as removals: a change of a class's admission was published to all proxies at once or not at all, at the cost of a message and two entries for each. Where that exceeds half of the queue (7 x 400 of 3,750, or any planner whose queue holds a change for all proxies just twice), it never went out, or only when no weight had changed. Published admissions were remembered for all tables together, so that no part could go out.

Fix: each subset remembers what is published in its tables. Admissions go out subset by subset, after removals and new entries and before weights, one entry for each table that a proxy has; the next update begins with the subset that had to wait.

The first tables of proxies that connected later than a removal was due, or less than an evaluation before, now wait for it, for a second at most.

Tests: the new one fails before and passes now; rejected_admission_is_issued_again_for_its_table asserts that a rejection concerns its own table alone.

--- a/crates/controller/src/admission_control.rs
+++ b/crates/controller/src/admission_control.rs
@@ -92,8 +92,6 @@
     /// Isolated classes, one bit each, and their share of the weight of the warm endpoints.
     pub isolated_classes: u64,
     pub isolated_share: f64,
-    /// The admission last published for each class; `None` for none.
-    pub published: Vec<Option<ClassAdmission>>,
 }
 
 impl AdmissionController {
--- a/crates/controller/src/controller.rs
+++ b/crates/controller/src/controller.rs
@@ -8,7 +8,7 @@
 use crate::flow_control::UpdateChannel;
 use crate::proxy::{Proxy, MIN_REPORT_SECONDS};
 use crate::statistics::update_average;
-use crate::subsetting::Subset;
+use crate::subsetting::{subset_of, Subset};
 use nanorand::WyRand;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 const TICK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time between two evaluations. It is short so that changes that wait for room in the channel go out soon after
 /// there is some.
-const EVALUATION_INTERVAL: Duration = Duration::from_millis(250);
+pub(crate) const EVALUATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Time between two halvings of the counters. With few attempts it is longer, so that each endpoint gets some in
 /// between.
 const DECAY_INTERVAL: Duration = Duration::from_secs(3);
@@ -208,7 +208,11 @@
                 }
             }
             Command::AssignTable { proxy, .. } => slot(&mut self.proxies, *proxy).assigned = None,
-            Command::SetAdmission { class, .. } => *slot(&mut self.admission.published, *class) = None,
+            Command::SetAdmission { table, class, .. } => {
+                if let Some(subset) = self.subsets.get_mut(subset_of(*table)) {
+                    *slot(&mut subset.published_admissions, *class) = None;
+                }
+            }
             _ => {}
         }
     }
--- a/crates/controller/src/flow_control.rs
+++ b/crates/controller/src/flow_control.rs
@@ -22,6 +22,8 @@
     pub last_ack_token: u16,
     /// When entries, admissions or reassignments were last sent; first tables do not count.
     pub last_update: Duration,
+    /// The subset whose admissions are published first at the next regular update, so that all take their turn.
+    pub next_admission_subset: usize,
     /// Whether the present shortage of the queue was reported to the operators.
     pub has_logged_shortage: bool,
     /// When delayed removals were last reported to the operators; `None` if none are delayed.
--- a/crates/controller/src/proxy.rs
+++ b/crates/controller/src/proxy.rs
@@ -18,6 +18,7 @@
     pub is_connected: bool,
     /// Whether it connected with a table from an earlier planner.
     pub has_previous_table: bool,
+    pub connected_at: Duration,
     pub zone: ZoneId,
     pub subset: Option<usize>,
     /// When it was last moved out of a subset without endpoints; `None` for never.
@@ -43,6 +44,7 @@
         Proxy {
             is_connected: true,
             has_previous_table: !has_no_table,
+            connected_at: now,
             zone,
             arrival_rates: vec![request_rate / class_count as f64; class_count],
             reported_at: vec![now; class_count],
--- a/crates/controller/src/publication.rs
+++ b/crates/controller/src/publication.rs
@@ -2,14 +2,16 @@
 
 use crate::admission_control::ClassAdmission;
 use crate::command::Command;
-use crate::controller::Controller;
+use crate::controller::{Controller, EVALUATION_INTERVAL};
 use crate::delayed_removals::DelayedRemovals;
 use crate::endpoint::{slot, Endpoint, HealthState, TableEntry};
-use crate::event::{ProxyId, ServerId};
+use crate::event::{ClassId, ProxyId, ServerId};
+use crate::proxy::Proxy;
 use crate::queue_shortage::QueueShortage;
 use crate::statistics::is_within;
 use crate::subsetting::{subset_of, table_of, Subset};
 use crate::update_draft::{Priority, UpdateDraft};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Entries that may wait in the channel if the settings give no limit.
@@ -39,6 +41,10 @@
 /// Time between two reports, as long as removals stay delayed.
 const REMOVAL_DELAY_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
+/// For this long after a removal is due, the first tables of proxies that connected later wait as long as it does. The time
+/// is limited since a proxy that is silent may keep the channel from ever having room for a removal.
+const MAX_REMOVAL_PRECEDENCE: Duration = Duration::from_secs(1);
+
 /// What may be sent at this evaluation.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UpdateWindow {
@@ -46,6 +52,8 @@
     pub is_regular: bool,
     /// Whether the message limit allows changes now. First tables are sent in any case.
     pub is_open: bool,
+    /// Since when the oldest removal is due that the channel has no room for; `None` if it has room for all.
+    pub removals_wait_since: Option<Duration>,
 }
 
 /// An endpoint whose entry is to change.
@@ -57,16 +65,12 @@
 }
 
 impl EntryChange {
-    fn is_removal(&self) -> bool {
-        self.entry.is_none()
+    fn is_new_entry(&self) -> bool {
+        self.urgency == NEW_ENTRY_URGENCY
     }
 
-    fn priority(&self) -> Priority {
-        if self.is_removal() {
-            Priority::Urgent
-        } else {
-            Priority::Regular
-        }
+    fn is_removal(&self) -> bool {
+        self.entry.is_none()
     }
 }
 
@@ -107,12 +111,25 @@
         if window.is_regular || self.admission.isolated_classes != 0 {
             self.isolate_classes();
         }
-        if window.is_open && self.publish_entries(&window, &mut draft, commands) {
-            // Only first tables go out beside a removal that waits.
-            window = UpdateWindow { is_regular: false, is_open: false };
-        }
-        if window.is_regular {
-            self.publish_admissions(&mut draft, commands);
+        if window.is_open {
+            let (removals, changes) = self
+                .entry_changes(window.is_regular)
+                .into_iter()
+                .partition::<Vec<_>, _>(EntryChange::is_removal);
+            if self.publish_removals(&removals, &mut draft, commands) {
+                let (new_entries, weights): (Vec<_>, Vec<_>) =
+                    changes.into_iter().partition(EntryChange::is_new_entry);
+                self.publish_entries(&new_entries, &mut draft, commands);
+                let admissions =
+                    if window.is_regular { self.publish_admissions(&mut draft) } else { Vec::new() };
+                self.publish_entries(&weights, &mut draft, commands);
+                commands.extend(admissions);
+            } else {
+                // Only first tables go out beside a removal that waits.
+                let due_at = self.endpoints.iter().filter_map(|endpoint| endpoint.removal_due_at).min();
+                let removals_wait_since = due_at.or(Some(self.now));
+                window = UpdateWindow { is_regular: false, is_open: false, removals_wait_since };
+            }
         }
         let has_reassigned = self.assign_tables(&window, &mut draft, commands);
         // Reassignments count as updates: classes that alternate between isolated and shared would otherwise exceed the
@@ -145,7 +162,7 @@
         let interval = window.div_f64((channel.message_limit - SPARE_MESSAGES).max(1.0));
         let is_open = !channel.limits_messages() || self.now >= self.channel.last_update + interval;
         let is_regular = if channel.limits_messages() { is_open } else { is_tick };
-        UpdateWindow { is_regular, is_open }
+        UpdateWindow { is_regular, is_open, removals_wait_since: None }
     }
 
     /// Reports to the operators, once per shortage, that a change to all proxies of a table needs more than the queue
@@ -203,28 +220,40 @@
         commands.push(Command::RequestAck { ack_token, all_proxies: false });
     }
 
-    /// Publishes changed entries, the most urgent first, as far as the channel has room. Other changes wait as long as a
-    /// removal has to: they would take the room that it waits for. Returns whether one has to.
-    fn publish_entries(
+    /// Publishes removals as far as the channel has room. Returns whether it had room for all of them; if not, other
+    /// changes would take the room that a removal waits for.
+    fn publish_removals(
         &mut self,
-        window: &UpdateWindow,
+        removals: &[EntryChange],
         draft: &mut UpdateDraft,
         commands: &mut Vec<Command>,
     ) -> bool {
-        let mut removals_wait = false;
-        for change in self.entry_changes(window.is_regular) {
-            let has_room = self.change_cost(&change, draft) <= draft.room(change.priority());
+        let mut has_room_for_all = true;
+        for removal in removals {
+            let has_room = self.change_cost(removal, draft) <= draft.room(Priority::Urgent);
             // Beside a removal that waits, others go out with messages that are sent anyway.
-            let goes_along = change.is_removal() && self.needs_no_message(&change, draft);
-            if has_room && (!removals_wait || goes_along) {
-                self.publish_entry(&change, draft, commands);
-            } else if change.is_removal() {
-                removals_wait = true;
+            if has_room && (has_room_for_all || self.needs_no_message(removal, draft)) {
+                self.publish_entry(removal, draft, commands);
             } else {
-                break;
+                has_room_for_all = false;
+            }
+        }
+        has_room_for_all
+    }
+
+    /// Publishes changes other than removals, the most urgent first, until the channel has no more room.
+    fn publish_entries(
+        &mut self,
+        changes: &[EntryChange],
+        draft: &mut UpdateDraft,
+        commands: &mut Vec<Command>,
+    ) {
+        for change in changes {
+            if self.change_cost(change, draft) > draft.room(Priority::Regular) {
+                return;
             }
+            self.publish_entry(change, draft, commands);
         }
-        removals_wait
     }
 
     /// The entries to send for a change: the removal from the table that the endpoint leaves, and its new entry.
@@ -269,27 +298,29 @@
         changes
     }
 
-    /// Publishes changed admissions in all tables. A proxy has at most two tables.
-    fn publish_admissions(&mut self, draft: &mut UpdateDraft, commands: &mut Vec<Command>) {
-        for (class, admission) in self.class_admissions().into_iter().enumerate() {
-            let published = slot(&mut self.admission.published, class);
-            let cost: f64 = (0..self.subsets.len()).map(|subset| draft.change_cost(subset, 2.0)).sum();
-            if published.is_some_and(|old| is_same_admission(old, admission))
-                || cost > draft.room(Priority::Regular)
-            {
-                continue;
+    /// Publishes changed admissions, subset by subset, as far as the channel has room, and returns the commands. The next
+    /// regular update begins with the subset that had to wait.
+    fn publish_admissions(&mut self, draft: &mut UpdateDraft) -> Vec<Command> {
+        let admissions = self.class_admissions();
+        let (count, first) = (self.subsets.len(), self.channel.next_admission_subset);
+        let mut published = BTreeSet::new();
+        for subset in (first..first + count).map(|subset| subset % count) {
+            let tables = if self.isolated_table_is_in_use(subset) { 2.0 } else { 1.0 };
+            for (class, admission) in admissions.iter().enumerate() {
+                let old = slot(&mut self.subsets[subset].published_admissions, class);
+                if old.is_some_and(|old| is_same_admission(old, *admission)) {
+                    continue;
+                }
+                if draft.change_cost(subset, tables) > draft.room(Priority::Regular) {
+                    self.channel.next_admission_subset = subset;
+                    return admission_commands(&published, &admissions);
+                }
+                *old = Some(*admission);
+                draft.add_change(subset, tables);
+                published.insert((class, subset));
             }
-            *published = Some(admission);
-            let ClassAdmission { admission_rate, retry_policy } = admission;
-            let tables = (0..self.subsets.len()).flat_map(|s| [table_of(s, false), table_of(s, true)]);
-            commands.extend(tables.map(|table| Command::SetAdmission {
-                table,
-                class,
-                admission_rate,
-                retry_policy,
-            }));
-            (0..self.subsets.len()).for_each(|subset| draft.add_change(subset, 2.0));
         }
+        admission_commands(&published, &admissions)
     }
 
     /// Assigns tables to proxies that have none yet and, if the window is open, to those whose isolated classes
@@ -311,9 +342,10 @@
             let has_room = draft.assignment_cost(id, entries) <= draft.room(priority);
             let is_up_to_date = proxy.assigned == Some(self.subsets[subset].isolated_classes);
             let must_wait = is_assigned && !window.is_open;
+            let gives_way = !is_assigned && self.gives_way(proxy, window);
             let has_no_weight = self.subsets[subset].weight <= 0.0;
             let keeps_table = list_is_unreliable && self.keeps_previous_table(id);
-            if is_up_to_date || must_wait || !has_room || has_no_weight || keeps_table {
+            if is_up_to_date || must_wait || gives_way || !has_room || has_no_weight || keeps_table {
                 continue;
             }
             has_reassigned |= is_assigned;
@@ -323,12 +355,20 @@
         has_reassigned
     }
 
+    /// Whether the first table of a proxy waits as long as a removal does that was due before the proxy connected, or an
+    /// evaluation later. First tables are small and would take the room that a removal needs as a whole.
+    fn gives_way(&self, proxy: &Proxy, window: &UpdateWindow) -> bool {
+        window.removals_wait_since.is_some_and(|due_at| {
+            due_at < proxy.connected_at + EVALUATION_INTERVAL && self.now < due_at + MAX_REMOVAL_PRECEDENCE
+        })
+    }
+
     /// The exact number of entries that an assignment needs. With an estimate above it, proxies that all connect at
     /// once would wait for their tables longer than the drain grace period.
     fn assignment_entries(&self, subset: usize) -> f64 {
-        let Subset { endpoint_count, isolated_classes, .. } = &self.subsets[subset];
+        let Subset { endpoint_count, isolated_classes, published_admissions, .. } = &self.subsets[subset];
         let tables = if *isolated_classes != 0 { 2.0 } else { 1.0 };
-        tables * (1 + endpoint_count + self.admission.published.len()) as f64
+        tables * (1 + endpoint_count + published_admissions.len()) as f64
     }
 
     /// Whether the list may lack endpoints that are in service: endpoints that are missing from it may stay in use,
@@ -359,6 +399,18 @@
     }
 }
 
+/// The commands for these pairs of a class and a subset.
+fn admission_commands(published: &BTreeSet<(ClassId, usize)>, admissions: &[ClassAdmission]) -> Vec<Command> {
+    let tables = |(class, subset): &(ClassId, usize)| {
+        [false, true].map(|isolated| (*class, table_of(*subset, isolated)))
+    };
+    let command = |(class, table)| {
+        let ClassAdmission { admission_rate, retry_policy } = admissions[class];
+        Command::SetAdmission { table, class, admission_rate, retry_policy }
+    };
+    published.iter().flat_map(tables).map(command).collect()
+}
+
 fn is_same_admission(old: ClassAdmission, new: ClassAdmission) -> bool {
     is_within(old.admission_rate, new.admission_rate, MIN_ADMISSION_CHANGE)
         && old.retry_policy == new.retry_policy
--- a/crates/controller/src/subsetting.rs
+++ b/crates/controller/src/subsetting.rs
@@ -4,6 +4,7 @@
 //! table. Otherwise endpoints and proxies are divided into subsets of about ten endpoints. Each subset has one table
 //! for all classes and one for its isolated classes.
 
+use crate::admission_control::ClassAdmission;
 use crate::controller::Controller;
 use crate::event::{ServerId, TableId, ZoneId};
 use std::collections::BTreeSet;
@@ -61,6 +62,8 @@
     pub proxy_count: f64,
     /// The classes isolated in it, one bit each.
     pub isolated_classes: u64,
+    /// The admission last published in its tables, by class; `None` for none.
+    pub published_admissions: Vec<Option<ClassAdmission>>,
 }
 
 impl Subset {
@@ -73,9 +76,10 @@
         self.weight / self.load
     }
 
-    /// Resets all but its zone and its isolated classes.
+    /// Resets what is summed up over its proxies and endpoints.
     fn reset_sums(&mut self) {
-        *self = Subset { zone: self.zone, isolated_classes: self.isolated_classes, ..Subset::default() };
+        (self.load, self.weight, self.proxy_count) = (0.0, 0.0, 0.0);
+        self.endpoint_count = 0;
     }
 
     fn add_proxy(&mut self, arrival_rate: f64) {
@@ -286,7 +290,7 @@
         }
     }
 
-    fn isolated_table_is_in_use(&self, subset: usize) -> bool {
+    pub(crate) fn isolated_table_is_in_use(&self, subset: usize) -> bool {
         self.proxies.iter().any(|proxy| {
             let is_isolated = proxy.assigned.is_some_and(|classes| classes != 0);
             proxy.is_connected && proxy.subset == Some(subset) && is_isolated
--- a/crates/controller/src/tests/publication.rs
+++ b/crates/controller/src/tests/publication.rs
@@ -4,6 +4,7 @@
 use crate::flow_control::{InFlightUpdate, UpdateChannel};
 use crate::proxy::Proxy;
 use crate::publication::UpdateWindow;
+use crate::subsetting::Subset;
 use crate::{Command, Event};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -13,7 +14,7 @@
     let mut controller = controller_with_unreliable_list(healthy_endpoint(0));
     controller.proxies = vec![Proxy { has_previous_table: true, ..proxy(None) }];
     (controller.admission.list_is_stale, controller.admission.ticks_with_reports) = (true, 9);
-    let window = UpdateWindow { is_regular: true, is_open: true };
+    let window = UpdateWindow { is_regular: true, is_open: true, removals_wait_since: None };
     let mut draft = controller.new_draft();
     controller.assign_tables(&window, &mut draft, &mut vec![]);
     assert_eq!(controller.proxies[0].assigned, None);
@@ -247,3 +248,63 @@
     }
     assert_eq!(controller.endpoints[draining].published, None);
 }
+
+/// The number of updates, all of them acknowledged, until each table has the admission of each class, while weights
+/// change all the time; `None` if some have none after 20.
+fn updates_until_admissions_are_published(proxies: usize, tables: usize, queue_limit: f64) -> Option<usize> {
+    let endpoint = |server| Endpoint { subset: Some(server % tables), ..healthy_endpoint(0) };
+    let mut controller = controller((0..4 * tables).map(endpoint).collect());
+    controller.config.classes = classes(&[(0.75, 1.0), (1.2, 1.0), (0.5, 2.0)]);
+    controller.config.channel.queue_limit = Some(queue_limit);
+    controller.subsets = (0..tables).map(|_| Subset::default()).collect();
+    let assigned = |proxy| Proxy { subset: Some(proxy % tables), ..proxy_with_table() };
+    controller.proxies = (0..proxies).map(assigned).collect();
+    let mut published = BTreeSet::new();
+    (1..=20).find(|update| {
+        for endpoint in &mut controller.endpoints {
+            endpoint.speed_factor = if update % 2 == 0 { 1.0 } else { 1.5 };
+        }
+        for command in publish_all(&mut controller) {
+            if let Command::SetAdmission { table, class, .. } = command {
+                published.insert((table, class));
+            }
+        }
+        controller.channel.in_flight.clear();
+        published.len() == 2 * tables * controller.config.classes.len()
+    })
+}
+
+fn proxy_with_table() -> Proxy {
+    Proxy { arrival_rates: vec![1.0; 3], ..proxy(Some(0)) }
+}
+
+/// Guards against admission limits that never take effect: a change of them was published to all proxies at once or to
+/// none, and exceeded the room though it fits table by table.
+#[test]
+fn admissions_are_published_table_by_table() {
+    for proxies in [40, 200, 320, 360, 400, 480, 592] {
+        for tables in [1, 4, 12] {
+            // Twice, and 1.4 times, what a change to all proxies needs: five entries and the entry itself each.
+            for queue_limit in [12.0, 8.4].map(|entries| entries * proxies as f64) {
+                let updates = updates_until_admissions_are_published(proxies, tables, queue_limit);
+                assert!(updates.is_some(), "{proxies} proxies, {tables} tables, a queue of {queue_limit}");
+            }
+        }
+    }
+}
+
+/// A rejected admission is issued again for its own table, and for no other.
+#[test]
+fn rejected_admission_is_issued_again_for_its_table() {
+    let mut controller = controller(vec![healthy_endpoint(0), healthy_endpoint(0)]);
+    controller.config.classes = classes(&[(1.0, 1.0), (1.0, 2.0)]);
+    controller.proxies = vec![proxy(Some(0))];
+    let admissions = |commands: Vec<Command>| -> Vec<Command> {
+        commands.into_iter().filter(|command| matches!(command, Command::SetAdmission { .. })).collect()
+    };
+    let first = admissions(publish_all(&mut controller));
+    assert_eq!(first.len(), 4, "two classes in two tables");
+    let command = first[0].clone();
+    controller.handle_event(&Event::CommandRejected { command, published_weight: None }, &mut vec![]);
+    assert_eq!(admissions(publish_all(&mut controller)), first[..2]);
+}
--- a/crates/controller/tests/simulation/mod.rs
+++ b/crates/controller/tests/simulation/mod.rs
@@ -88,6 +88,8 @@
 struct SimulatedProxy {
     connection: u64,
     joined_at: Option<Duration>,
+    /// When it last lost its last entry.
+    emptied_at: Option<Duration>,
     /// The tables that it was last assigned, as of what was sent.
     tables: BTreeSet<TableId>,
     /// The entries that it routes by, as of what arrived.
@@ -107,6 +109,8 @@
     pub proxies_without_entries: usize,
     /// The longest time from joining to the first entry.
     pub longest_table_wait: Duration,
+    /// The longest time for which a proxy held no entry after it had some.
+    pub longest_time_without_entries: Duration,
     /// Messages that brought weights or other entries, and those that brought admission limits.
     pub messages_with_entries: usize,
     pub messages_with_admissions: usize,
@@ -253,7 +257,14 @@
         }
         let joined_at = proxy.joined_at.unwrap();
         if before.is_empty() && !proxy.held.is_empty() {
-            self.seen.longest_table_wait = self.seen.longest_table_wait.max(self.now - joined_at);
+            let (longest, since) = match proxy.emptied_at {
+                Some(emptied_at) => (&mut self.seen.longest_time_without_entries, emptied_at),
+                None => (&mut self.seen.longest_table_wait, joined_at),
+            };
+            *longest = (*longest).max(self.now - since);
+        }
+        if !before.is_empty() && proxy.held.is_empty() {
+            proxy.emptied_at = Some(self.now);
         }
         for (_, server) in before.difference(&proxy.held) {
             if let Some(removed_at) = self.removed.get(server) {
