--- a/crates/controller/src/delayed_removals.rs
+++ b/crates/controller/src/delayed_removals.rs
@@ -1,7 +1,15 @@
 //! The report to the operators on removals that wait: endpoints that are out of service and still in proxies' tables.
 
+use crate::command::Command;
+use crate::controller::Controller;
+use crate::subsetting::subset_of;
 use std::time::Duration;
 
+/// A removal that has been due for this long is reported to the operators.
+const MAX_REMOVAL_DELAY: Duration = Duration::from_secs(2);
+/// Time between two reports, as long as removals stay delayed.
+const REMOVAL_DELAY_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// The removals that are not published yet, and the state of the update channel.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct DelayedRemovals {
@@ -38,3 +46,36 @@
         )
     }
 }
+
+impl Controller {
+    /// Reports to the operators that removals have been due for long, again and again as long as some are.
+    pub(crate) fn log_delayed_removals(&mut self, available_entries: f64, commands: &mut Vec<Command>) {
+        let (now, proxies) = (self.now, self.proxies.iter().filter(|proxy| proxy.is_connected).count());
+        let message_cost = self.config.channel.message_overhead + 1.0;
+        let mut delay = DelayedRemovals {
+            endpoints: 0,
+            waited: Duration::ZERO,
+            required_entries: f64::INFINITY,
+            available_entries,
+            queued_entries: self.channel.queued_entries(),
+            proxies,
+        };
+        for endpoint in &mut self.endpoints {
+            let published = endpoint.published.filter(|_| proxies > 0 && !endpoint.is_in_service());
+            endpoint.removal_due_at = published.map(|_| endpoint.removal_due_at.unwrap_or(now));
+            let (Some(entry), Some(due_at)) = (published, endpoint.removal_due_at) else { continue };
+            let cost = self.subsets[subset_of(entry.table)].proxy_count * (1.0 + message_cost);
+            delay.endpoints += 1;
+            delay.waited = delay.waited.max(now - due_at);
+            delay.required_entries = delay.required_entries.min(cost);
+        }
+        if delay.waited < MAX_REMOVAL_DELAY {
+            self.channel.delay_logged_at = None;
+            return;
+        }
+        if self.channel.delay_logged_at.is_none_or(|at| now >= at + REMOVAL_DELAY_LOG_INTERVAL) {
+            self.channel.delay_logged_at = Some(now);
+            commands.push(Command::LogDelayedRemovals(delay));
+        }
+    }
+}
--- a/crates/controller/src/lib.rs
+++ b/crates/controller/src/lib.rs
@@ -7,8 +7,9 @@
 //!
 //! Each decision has a module: [`outlier_detection`] ejects endpoints, [`panic_threshold`] readmits them when too
 //! few are left, [`slow_start`] limits endpoints that warm up, [`speed_estimation`] corrects configured weights,
-//! [`admission_control`] and [`retry_policy`] shed load, [`subsetting`] assigns endpoints and proxies to tables, and
-//! [`publication`] sends changes to proxies within the limits that [`flow_control`] tracks.
+//! [`admission_control`] and [`retry_policy`] shed load, [`subsetting`] divides endpoints and proxies, and
+//! [`publication`] and [`table_assignment`] send changes and tables to proxies within the limits that [`flow_control`]
+//! tracks.
 //!
 //! ```
 //! use runloom_controller::{Command, Controller, DeploymentConfig, Event};
@@ -40,6 +41,7 @@
 pub mod speed_estimation;
 mod statistics;
 pub mod subsetting;
+pub mod table_assignment;
 mod update_draft;
 pub mod warm_start;
 
--- a/crates/controller/src/publication.rs
+++ b/crates/controller/src/publication.rs
@@ -2,14 +2,11 @@
 
 use crate::admission_control::ClassAdmission;
 use crate::command::Command;
-use crate::controller::{Controller, EVALUATION_INTERVAL};
-use crate::delayed_removals::DelayedRemovals;
-use crate::endpoint::{slot, Endpoint, HealthState, TableEntry};
-use crate::event::{ClassId, ProxyId, ServerId};
-use crate::proxy::Proxy;
-use crate::queue_shortage::QueueShortage;
+use crate::controller::Controller;
+use crate::endpoint::{slot, Endpoint, TableEntry};
+use crate::event::{ClassId, ServerId};
 use crate::statistics::is_within;
-use crate::subsetting::{subset_of, table_of, Subset};
+use crate::subsetting::{subset_of, table_of};
 use crate::update_draft::{Priority, UpdateDraft};
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -32,19 +29,6 @@
 const REMOVAL_URGENCY: f64 = f64::MAX;
 /// An admission rate that changes by less than this share is not published.
 const MIN_ADMISSION_CHANGE: f64 = 0.07;
-/// Under an unreliable list, a proxy keeps the table of an earlier planner until there were this many ticks with
-/// reports: by then the list has been compared with the reports.
-const TICKS_UNTIL_LIST_IS_CHECKED: u32 = 2;
-
-/// A removal that has been due for this long is reported to the operators.
-const MAX_REMOVAL_DELAY: Duration = Duration::from_secs(2);
-/// Time between two reports, as long as removals stay delayed.
-const REMOVAL_DELAY_LOG_INTERVAL: Duration = Duration::from_secs(10);
-
-/// For this long after a removal is due, the first tables of proxies that connected later wait as long as it does. The time
-/// is limited since a proxy that is silent may keep the channel from ever having room for a removal.
-const MAX_REMOVAL_PRECEDENCE: Duration = Duration::from_secs(1);
-
 /// What may be sent at this evaluation.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UpdateWindow {
@@ -117,13 +101,7 @@
                 .into_iter()
                 .partition::<Vec<_>, _>(EntryChange::is_removal);
             if self.publish_removals(&removals, &mut draft, commands) {
-                let (new_entries, weights): (Vec<_>, Vec<_>) =
-                    changes.into_iter().partition(EntryChange::is_new_entry);
-                self.publish_entries(&new_entries, &mut draft, commands);
-                let admissions =
-                    if window.is_regular { self.publish_admissions(&mut draft) } else { Vec::new() };
-                self.publish_entries(&weights, &mut draft, commands);
-                commands.extend(admissions);
+                self.publish_other_changes(changes, &window, &mut draft, commands);
             } else {
                 // Only first tables go out beside a removal that waits.
                 let due_at = self.endpoints.iter().filter_map(|endpoint| endpoint.removal_due_at).min();
@@ -165,51 +143,6 @@
         UpdateWindow { is_regular, is_open, removals_wait_since: None }
     }
 
-    /// Reports to the operators, once per shortage, that a change to all proxies of a table needs more than the queue
-    /// ever has room for.
-    fn log_queue_shortage(&mut self, draft: &UpdateDraft, commands: &mut Vec<Command>) {
-        let proxies = self.subsets.iter().map(|subset| subset.proxy_count).fold(0.0, f64::max);
-        let required_entries = proxies * (self.config.channel.message_overhead + 2.0);
-        let available_entries = draft.max_cost();
-        let is_short = required_entries > available_entries;
-        if is_short && !self.channel.has_logged_shortage {
-            let shortage = QueueShortage { proxies, required_entries, available_entries };
-            commands.push(Command::LogQueueShortage(shortage));
-        }
-        self.channel.has_logged_shortage = is_short;
-    }
-
-    /// Reports to the operators that removals have been due for long, again and again as long as some are.
-    fn log_delayed_removals(&mut self, available_entries: f64, commands: &mut Vec<Command>) {
-        let (now, proxies) = (self.now, self.proxies.iter().filter(|proxy| proxy.is_connected).count());
-        let message_cost = self.config.channel.message_overhead + 1.0;
-        let mut delay = DelayedRemovals {
-            endpoints: 0,
-            waited: Duration::ZERO,
-            required_entries: f64::INFINITY,
-            available_entries,
-            queued_entries: self.channel.queued_entries(),
-            proxies,
-        };
-        for endpoint in &mut self.endpoints {
-            let published = endpoint.published.filter(|_| proxies > 0 && !endpoint.is_in_service());
-            endpoint.removal_due_at = published.map(|_| endpoint.removal_due_at.unwrap_or(now));
-            let (Some(entry), Some(due_at)) = (published, endpoint.removal_due_at) else { continue };
-            let cost = self.subsets[subset_of(entry.table)].proxy_count * (1.0 + message_cost);
-            delay.endpoints += 1;
-            delay.waited = delay.waited.max(now - due_at);
-            delay.required_entries = delay.required_entries.min(cost);
-        }
-        if delay.waited < MAX_REMOVAL_DELAY {
-            self.channel.delay_logged_at = None;
-            return;
-        }
-        if self.channel.delay_logged_at.is_none_or(|at| now >= at + REMOVAL_DELAY_LOG_INTERVAL) {
-            self.channel.delay_logged_at = Some(now);
-            commands.push(Command::LogDelayedRemovals(delay));
-        }
-    }
-
     /// Records the messages of this update as in flight and requests their acknowledgement.
     fn request_ack(&mut self, draft: UpdateDraft, commands: &mut Vec<Command>) {
         let messages = draft.into_messages();
@@ -241,6 +174,23 @@
         has_room_for_all
     }
 
+    /// Publishes new entries, then admissions if they are due, then weights. The commands for admissions follow those for
+    /// entries.
+    fn publish_other_changes(
+        &mut self,
+        changes: Vec<EntryChange>,
+        window: &UpdateWindow,
+        draft: &mut UpdateDraft,
+        commands: &mut Vec<Command>,
+    ) {
+        let (new_entries, weights): (Vec<_>, Vec<_>) =
+            changes.into_iter().partition(EntryChange::is_new_entry);
+        self.publish_entries(&new_entries, draft, commands);
+        let admissions = if window.is_regular { self.publish_admissions(draft) } else { Vec::new() };
+        self.publish_entries(&weights, draft, commands);
+        commands.extend(admissions);
+    }
+
     /// Publishes changes other than removals, the most urgent first, until the channel has no more room.
     fn publish_entries(
         &mut self,
@@ -322,81 +272,6 @@
         }
         admission_commands(&published, &admissions)
     }
-
-    /// Assigns tables to proxies that have none yet and, if the window is open, to those whose isolated classes
-    /// changed. Returns whether any proxy was reassigned.
-    pub(crate) fn assign_tables(
-        &mut self,
-        window: &UpdateWindow,
-        draft: &mut UpdateDraft,
-        commands: &mut Vec<Command>,
-    ) -> bool {
-        let mut has_reassigned = false;
-        let list_is_unreliable = self.list_is_unreliable();
-        for id in 0..self.proxies.len() {
-            let proxy = &self.proxies[id];
-            let Some(subset) = proxy.subset.filter(|_| proxy.is_connected) else { continue };
-            let is_assigned = proxy.assigned.is_some();
-            let entries = self.assignment_entries(subset);
-            let priority = if is_assigned { Priority::Regular } else { Priority::Urgent };
-            let has_room = draft.assignment_cost(id, entries) <= draft.room(priority);
-            let is_up_to_date = proxy.assigned == Some(self.subsets[subset].isolated_classes);
-            let must_wait = is_assigned && !window.is_open;
-            let gives_way = !is_assigned && self.gives_way(proxy, window);
-            let has_no_weight = self.subsets[subset].weight <= 0.0;
-            let keeps_table = list_is_unreliable && self.keeps_previous_table(id);
-            if is_up_to_date || must_wait || gives_way || !has_room || has_no_weight || keeps_table {
-                continue;
-            }
-            has_reassigned |= is_assigned;
-            draft.add_assignment(id, entries);
-            self.assign_table(id, subset, commands);
-        }
-        has_reassigned
-    }
-
-    /// Whether the first table of a proxy waits as long as a removal does that was due before the proxy connected, or an
-    /// evaluation later. First tables are small and would take the room that a removal needs as a whole.
-    fn gives_way(&self, proxy: &Proxy, window: &UpdateWindow) -> bool {
-        window.removals_wait_since.is_some_and(|due_at| {
-            due_at < proxy.connected_at + EVALUATION_INTERVAL && self.now < due_at + MAX_REMOVAL_PRECEDENCE
-        })
-    }
-
-    /// The exact number of entries that an assignment needs. With an estimate above it, proxies that all connect at
-    /// once would wait for their tables longer than the drain grace period.
-    fn assignment_entries(&self, subset: usize) -> f64 {
-        let Subset { endpoint_count, isolated_classes, published_admissions, .. } = &self.subsets[subset];
-        let tables = if *isolated_classes != 0 { 2.0 } else { 1.0 };
-        tables * (1 + endpoint_count + published_admissions.len()) as f64
-    }
-
-    /// Whether the list may lack endpoints that are in service: endpoints that are missing from it may stay in use,
-    /// and it lists none as draining.
-    fn list_is_unreliable(&self) -> bool {
-        let lists_draining = self.endpoints.iter().any(|endpoint| endpoint.health == HealthState::Draining);
-        !lists_draining && self.config.endpoint_list.only_draining_binds
-    }
-
-    /// Whether a proxy without an assigned table, under an unreliable list, keeps its table from an earlier planner:
-    /// while the list is stale, and until there are enough reports to know whether it is.
-    fn keeps_previous_table(&self, proxy: ProxyId) -> bool {
-        let proxy = &self.proxies[proxy];
-        let is_early =
-            proxy.has_previous_table && self.admission.ticks_with_reports < TICKS_UNTIL_LIST_IS_CHECKED;
-        proxy.assigned.is_none() && (is_early || self.admission.list_is_stale)
-    }
-
-    /// Assigns the tables of a subset to a proxy.
-    fn assign_table(&mut self, proxy: ProxyId, subset: usize, commands: &mut Vec<Command>) {
-        let isolated_classes = self.subsets[subset].isolated_classes;
-        commands.push(Command::AssignTable { proxy, table: table_of(subset, false), class_mask: 0 });
-        if isolated_classes != 0 {
-            let table = table_of(subset, true);
-            commands.push(Command::AssignTable { proxy, table, class_mask: isolated_classes });
-        }
-        self.proxies[proxy].assigned = Some(isolated_classes);
-    }
 }
 
 /// The commands for these pairs of a class and a subset.
--- a/crates/controller/src/queue_shortage.rs
+++ b/crates/controller/src/queue_shortage.rs
@@ -1,5 +1,9 @@
 //! The report to the operators on a channel whose queue is too small for a change to all proxies of a table.
 
+use crate::command::Command;
+use crate::controller::Controller;
+use crate::update_draft::UpdateDraft;
+
 /// The queue entries that a change needs, and those that are available.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueueShortage {
@@ -21,3 +25,19 @@
         )
     }
 }
+
+impl Controller {
+    /// Reports to the operators, once per shortage, that a change to all proxies of a table needs more than the queue
+    /// ever has room for.
+    pub(crate) fn log_queue_shortage(&mut self, draft: &UpdateDraft, commands: &mut Vec<Command>) {
+        let proxies = self.subsets.iter().map(|subset| subset.proxy_count).fold(0.0, f64::max);
+        let required_entries = proxies * (self.config.channel.message_overhead + 2.0);
+        let available_entries = draft.max_cost();
+        let is_short = required_entries > available_entries;
+        if is_short && !self.channel.has_logged_shortage {
+            let shortage = QueueShortage { proxies, required_entries, available_entries };
+            commands.push(Command::LogQueueShortage(shortage));
+        }
+        self.channel.has_logged_shortage = is_short;
+    }
+}
