Review case 7: an edit repeated after a dropped session is answered ok and not applied

A confirmed commit whose session drops is rolled back, but its edit-id stays in the edit history. The same edit, sent again under its id, is taken for one that is in force: all of it is answered ok, and nothing is applied. Adds the case with its script. Fixes nothing.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod process;
 mod record;
+mod repeated;
 
 use record::Record;
 use std::path::PathBuf;
@@ -26,6 +27,7 @@
     record.say(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let result = match case.as_str() {
         "candidate" => candidate::run(&record, trouble),
+        "repeated" => repeated::run(&record, trouble),
         other => Err(format!("there is no case {other}")),
     };
     match result {
