Review case 8: a forwarder that is stopped drops requests that it took after the signal

After SIGTERM a forwarder goes on taking requests on open connections; after the longest outer limit it ends with those under way. Servers have run them, and the clients get no answer. Fixes nothing.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod process;
 mod record;
 mod repeated;
+mod stopped;
 
 use record::Record;
 use std::path::PathBuf;
@@ -28,6 +29,7 @@
     let result = match case.as_str() {
         "candidate" => candidate::run(&record, trouble),
         "repeated" => repeated::run(&record, trouble),
+        "stopped" => stopped::run(&record, trouble),
         other => Err(format!("there is no case {other}")),
     };
     match result {
