Review case 10: a planner that is killed comes back with a list from before a drain

The endpoint list is written at most once a second and answered ok before that, so a crash loses the last second of it: the planner comes back and orders its forwarders to send to a node that drains. Adds the case with its script. Fixes nothing.

--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -8,12 +8,13 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// A request that reached a server: when, which server, and its id.
+/// A request that reached a server: when, which server, its id, and the forwarder that sent it.
 #[derive(Debug, Clone)]
 pub struct Arrival {
     pub at: Duration,
     pub server: String,
     pub id: String,
+    pub forwarder: String,
 }
 
 /// All requests that reached servers.
@@ -47,8 +48,9 @@
     while let Some(head) = read_message(&mut reader) {
         if let Some(id) = head.header("request-id") {
             let at = record.now();
-            record.note(&format!("server {name} got {id}"));
-            let arrival = Arrival { at, server: name.to_string(), id: id.to_string() };
+            let forwarder = head.header("runloom-proxy").unwrap_or_default().to_string();
+            record.note(&format!("server {name} got {id} from {forwarder}"));
+            let arrival = Arrival { at, server: name.to_string(), id: id.to_string(), forwarder };
             arrivals.lock().expect("not poisoned").push(arrival);
             std::thread::sleep(work);
         }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -9,6 +9,7 @@
 mod process;
 mod record;
 mod repeated;
+mod restart;
 mod stopped;
 
 use record::Record;
@@ -32,6 +33,7 @@
         "bad-clients" => bad_clients::run(&record, trouble),
         "candidate" => candidate::run(&record, trouble),
         "repeated" => repeated::run(&record, trouble),
+        "restart" => restart::run(&record, trouble),
         "stopped" => stopped::run(&record, trouble),
         other => Err(format!("there is no case {other}")),
     };
