Drop review case 9: an earlier case (review/3) shows the same fault

The case, its stand-in for the platform and the ignore files that review/.gitignore makes needless go.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,11 +1,9 @@
 //! Runs one case of the second review: `review-2 CASE FOLDER`. Exits with 1 if the rule was broken, 0 if it held, and 2
 //! if the case could not run. With `TROUBLE=0` the disruption is left out.
 
-mod bad_clients;
 mod candidate;
 mod fleet;
 mod http;
-mod platform;
 mod process;
 mod record;
 mod repeated;
@@ -30,7 +28,6 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.say(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let result = match case.as_str() {
-        "bad-clients" => bad_clients::run(&record, trouble),
         "candidate" => candidate::run(&record, trouble),
         "repeated" => repeated::run(&record, trouble),
         "restart" => restart::run(&record, trouble),
