--- a/review/stand-ins-2/src/candidate.rs
+++ b/review/stand-ins-2/src/candidate.rs
@@ -1,4 +1,4 @@
-//! Case 6: a node drains while an operator prepares an edit in the candidate datastore.
+//! Case 7: a node drains while an operator prepares an edit in the candidate datastore.
 
 use crate::fleet::{candidate_lock, operation, Fleet, DRAIN_GRACE};
 use crate::record::Record;
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -43,16 +43,6 @@
 impl Fleet {
     /// Starts `servers` servers in two zones, a planner and two forwarders.
     pub fn start(record: &Record, servers: usize, work: Duration) -> Result<Fleet, String> {
-        Fleet::with_forwarders(record, servers, work, 2)
-    }
-
-    /// As [`Fleet::start`], with this many forwarders.
-    pub fn with_forwarders(
-        record: &Record,
-        servers: usize,
-        work: Duration,
-        forwarder_count: usize,
-    ) -> Result<Fleet, String> {
         let folder = Folder::from_environment()?;
         let issuer = Issuer::new(&folder.path("credentials"))?;
         let arrivals = Arrivals::default();
@@ -62,7 +52,7 @@
         let servers = servers?;
         let [edits, home] = reserve_addresses().map_err(|error| error.to_string())?;
         let credentials = issuer.issue("planner-1", Some("planner.runloom"))?;
-        let settings = planner_settings(edits, home, forwarder_count, &folder, &credentials);
+        let settings = planner_settings(edits, home, &folder, &credentials);
         let planner_settings = folder.write("planner.xml", &settings)?;
         let planner = start_planner(&folder, &planner_settings)?;
         record.say(&format!("planner started, edits at {edits}"));
@@ -73,8 +63,7 @@
         };
         let (operator, feed) = (load("staff")?, load("feed")?);
         let mut forwarders = Vec::new();
-        for number in 1..=forwarder_count {
-            let zone = ["heredia", "san-jose"][number % 2];
+        for (number, zone) in [(1, "san-jose"), (2, "heredia")] {
             let name = format!("forwarder-{number}");
             let credentials = issuer.issue(&name, Some("proxy.runloom"))?;
             let settings = forwarder_settings(&name, zone, home, &credentials, &servers);
@@ -131,28 +120,11 @@
 
     /// The feed reports that a server drains. Returns when the planner had answered.
     pub fn report_drain(&self, feed: &mut Client, server: &str) -> Result<Duration, String> {
-        self.report(feed, server, true, 1.0)
-    }
-
-    /// The feed reports a changed weight of a server.
-    pub fn report_weight(&self, feed: &mut Client, server: &str, weight: f64) -> Result<Duration, String> {
-        self.report(feed, server, false, weight)
-    }
-
-    fn report(
-        &self,
-        feed: &mut Client,
-        server: &str,
-        is_draining: bool,
-        weight: f64,
-    ) -> Result<Duration, String> {
         let listed = self.listed().remove(server).ok_or("unknown server")?;
-        let listed = ListedServer { is_draining, weight, ..listed };
-        let element = listed.to_element(server).with_attribute(BASE, "operation", "replace");
+        let element = ListedServer { is_draining: true, ..listed }.to_element(server);
+        let element = element.with_attribute(BASE, "operation", "replace");
         let roster = Element::new(FLEET_NAMESPACE, "roster").with(element);
-        let state = if is_draining { "drains" } else { "has another weight" };
-        let what = format!("feed: {server} {state}");
-        self.call(feed, &what, edit_config("running", roster), None)?;
+        self.call(feed, &format!("feed: {server} drains"), edit_config("running", roster), None)?;
         Ok(self.record.now())
     }
 
@@ -219,20 +191,14 @@
 }
 
 /// As `deploy/planner.xml`.
-fn planner_settings(
-    edits: SocketAddr,
-    home: SocketAddr,
-    forwarder_count: usize,
-    folder: &Folder,
-    tls: &TlsFiles,
-) -> String {
+fn planner_settings(edits: SocketAddr, home: SocketAddr, folder: &Folder, tls: &TlsFiles) -> String {
     format!(
         "<planner xmlns=\"urn:runloom:fleet\"><name>planner-1</name><edits>{edits}</edits><home>{home}</home>\
          <folder>{}</folder>{}<fleet><zone><name>san-jose</name></zone><zone><name>heredia</name></zone>{CLASSES}\
          <grace><drain-ms>{}</drain-ms><bare-ms>3000</bare-ms><reply-ms>1500</reply-ms></grace>\
          <channel><lines-per-second>2800</lines-per-second><backlog>4200</backlog><overhead>4</overhead></channel>\
          <cold><from>0.2</from><warm-after-ms>15000</warm-after-ms></cold>\
-         <proxies><count>{forwarder_count}</count><planners>1</planners><pick>less-busy</pick><levels>none</levels>\
+         <proxies><count>2</count><planners>1</planners><pick>less-busy</pick><levels>none</levels>\
          <probes>true</probes><report-ms>1000</report-ms><report-lines-per-second>60</report-lines-per-second>\
          </proxies><list><only-drains-bind>false</only-drains-bind><load>held</load></list></fleet></planner>",
         folder.path("state").display(),
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -7,7 +7,6 @@
 mod process;
 mod record;
 mod repeated;
-mod restart;
 mod stopped;
 
 use record::Record;
@@ -30,7 +29,6 @@
     let result = match case.as_str() {
         "candidate" => candidate::run(&record, trouble),
         "repeated" => repeated::run(&record, trouble),
-        "restart" => restart::run(&record, trouble),
         "stopped" => stopped::run(&record, trouble),
         other => Err(format!("there is no case {other}")),
     };
--- a/review/stand-ins-2/src/repeated.rs
+++ b/review/stand-ins-2/src/repeated.rs
@@ -1,4 +1,4 @@
-//! Case 7: an operator's edit is repeated under its id after its session was dropped before the confirming commit.
+//! Case 8: an operator's edit is repeated under its id after its session was dropped before the confirming commit.
 
 use crate::fleet::{candidate_lock, operation, Fleet, DRAIN_GRACE};
 use crate::record::Record;
--- a/review/stand-ins-2/src/stopped.rs
+++ b/review/stand-ins-2/src/stopped.rs
@@ -45,7 +45,7 @@
                         at.as_secs_f64()
                     ));
                 }
-                Ending::NoAnswer | Ending::NotSent => {}
+                Ending::NoAnswer | Ending::NotSent | Ending::Foreign(_) => {}
             }
         }
     }
