--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -8,13 +8,18 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-/// A request that reached a server: when, which server, its id, and the forwarder that sent it.
+/// A server announces work that takes longer than this.
+const INTERIM_AFTER: Duration = Duration::from_millis(500);
+
+/// A client gives a request up after this time, longer than any outer limit.
+const GIVES_UP_AFTER: Duration = Duration::from_secs(5);
+
+/// A request that reached a server: when, which server, and its id.
 #[derive(Debug, Clone)]
 pub struct Arrival {
     pub at: Duration,
     pub server: String,
     pub id: String,
-    pub forwarder: String,
 }
 
 /// All requests that reached servers.
@@ -48,13 +53,18 @@
     while let Some(head) = read_message(&mut reader) {
         if let Some(id) = head.header("request-id") {
             let at = record.now();
-            let forwarder = head.header("runloom-proxy").unwrap_or_default().to_string();
+            let forwarder = head.header("runloom-proxy").unwrap_or_default();
             record.note(&format!("server {name} got {id} from {forwarder}"));
-            let arrival = Arrival { at, server: name.to_string(), id: id.to_string(), forwarder };
+            let arrival = Arrival { at, server: name.to_string(), id: id.to_string() };
             arrivals.lock().expect("not poisoned").push(arrival);
-            std::thread::sleep(work);
+            let own_work =
+                head.header("work-ms").and_then(|text| text.parse().ok()).map(Duration::from_millis);
+            if !run_request(&mut writer, own_work.unwrap_or(work)) {
+                return;
+            }
         }
-        let body = "ok";
+        // The answer names its request.
+        let body = head.header("request-id").unwrap_or("ok");
         let response = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}", body.len());
         if writer.write_all(response.as_bytes()).is_err() || head.closes() {
             return;
@@ -62,10 +72,25 @@
     }
 }
 
-/// The head of a message: its first line and its headers.
+/// Does the work of a request. Work that takes long is announced by an interim response (RFC 9110, section 15.2), so that
+/// the peer knows that the request is being processed. False if the connection has ended.
+fn run_request(writer: &mut TcpStream, work: Duration) -> bool {
+    if work > INTERIM_AFTER {
+        std::thread::sleep(INTERIM_AFTER);
+        if writer.write_all(b"HTTP/1.1 102 Processing\r\n\r\n").is_err() {
+            return false;
+        }
+    }
+    let rest = if work > INTERIM_AFTER { work - INTERIM_AFTER } else { work };
+    std::thread::sleep(rest);
+    true
+}
+
+/// A message: its first line, its headers and its body.
 pub struct Head {
     pub first_line: String,
     headers: Vec<(String, String)>,
+    pub body: String,
 }
 
 impl Head {
@@ -97,10 +122,11 @@
         let (name, value) = line.split_once(':')?;
         headers.push((name.to_ascii_lowercase(), value.trim().to_string()));
     }
-    let head = Head { first_line: first_line.trim().to_string(), headers };
+    let mut head = Head { first_line: first_line.trim().to_string(), headers, body: String::new() };
     let length: usize = head.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
+    head.body = String::from_utf8_lossy(&body).into_owned();
     Some(head)
 }
 
@@ -109,12 +135,37 @@
 pub enum Ending {
     /// An answer with this status.
     Answered(u16),
+    /// The answer to another request, with this id.
+    Foreign(String),
     /// The request was written, and the connection ended without an answer.
     NoAnswer,
     /// No connection, or the request could not be written.
     NotSent,
 }
 
+/// Requests that cost more work than usual: while `is_on`, one of `one_of` takes `work`.
+#[derive(Clone, Default)]
+pub struct Costly {
+    pub is_on: Arc<AtomicBool>,
+    pub one_of: u64,
+    pub work: Duration,
+    counted: Arc<AtomicU64>,
+}
+
+impl Costly {
+    pub fn new(one_of: u64, work: Duration) -> Costly {
+        Costly { one_of, work, ..Costly::default() }
+    }
+
+    fn draw(&self) -> Option<Duration> {
+        if !self.is_on.load(Ordering::Relaxed) {
+            return None;
+        }
+        let count = self.counted.fetch_add(1, Ordering::Relaxed) + 1;
+        (count % self.one_of == 0).then_some(self.work)
+    }
+}
+
 /// Clients that send requests to a proxy one after the other, each on a connection that it keeps.
 pub struct Clients {
     stop: Arc<AtomicBool>,
@@ -127,6 +178,18 @@
 impl Clients {
     /// Starts `count` clients of a proxy, which pause for `pause` between two requests of `class`.
     pub fn start(proxy: SocketAddr, class: &str, count: usize, pause: Duration, record: &Record) -> Clients {
+        Clients::with_costly(proxy, class, count, pause, record, &Costly::default())
+    }
+
+    /// As [`Clients::start`]; some requests cost more work.
+    pub fn with_costly(
+        proxy: SocketAddr,
+        class: &str,
+        count: usize,
+        pause: Duration,
+        record: &Record,
+        costly: &Costly,
+    ) -> Clients {
         let stop = Arc::new(AtomicBool::new(false));
         let endings = Arc::new(Mutex::new(Vec::new()));
         let client = |number: usize| {
@@ -134,12 +197,14 @@
             let pause = pause + Duration::from_millis(7 * number as u64);
             let (stop, endings, record) = (stop.clone(), endings.clone(), record.clone());
             let class = class.to_string();
+            let costly = costly.clone();
             std::thread::spawn(move || {
                 let mut connection = None;
                 while !stop.load(Ordering::Relaxed) {
                     let id = format!("r{}", LAST_ID.fetch_add(1, Ordering::Relaxed) + 1);
-                    record.note(&format!("client sends {id} {class}"));
-                    let ending = request(&mut connection, proxy, &class, &id);
+                    let work = costly.draw();
+                    record.note(&format!("client sends {id} {class}, its own work {work:?}"));
+                    let ending = request(&mut connection, proxy, &class, &id, work);
                     record.note(&format!("client of {id}: {ending:?}"));
                     endings.lock().expect("not poisoned").push((record.now(), id, ending));
                     std::thread::sleep(pause);
@@ -170,33 +235,39 @@
     proxy: SocketAddr,
     class: &str,
     id: &str,
+    work: Option<Duration>,
 ) -> Ending {
     if connection.is_none() {
         let Ok(stream) = TcpStream::connect(proxy) else { return Ending::NotSent };
         let _ = stream.set_nodelay(true);
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(10)));
+        let _ = stream.set_read_timeout(Some(GIVES_UP_AFTER));
         *connection = Some(BufReader::new(stream));
     }
     let Some(reader) = connection.as_mut() else { return Ending::NotSent };
+    let work = work.map(|work| format!("work-ms: {}\r\n", work.as_millis())).unwrap_or_default();
     let text = format!(
-        "POST /{class}/{id} HTTP/1.1\r\nhost: proxy\r\nrequest-id: {id}\r\ncontent-length: 0\r\n\r\n"
+        "POST /{class}/{id} HTTP/1.1\r\nhost: proxy\r\nrequest-id: {id}\r\n{work}content-length: 0\r\n\r\n"
     );
     if reader.get_mut().write_all(text.as_bytes()).is_err() {
         *connection = None;
         return Ending::NotSent;
     }
-    match read_message(reader) {
-        Some(head) => {
-            let status =
-                head.first_line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-            if head.closes() {
-                *connection = None;
-            }
-            Ending::Answered(status)
+    loop {
+        let Some(head) = read_message(reader) else {
+            *connection = None;
+            return Ending::NoAnswer;
+        };
+        let status = head.first_line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        // An interim response (RFC 9110, section 15.2): the final one follows.
+        if (100..200).contains(&status) {
+            continue;
         }
-        None => {
+        if head.closes() {
             *connection = None;
-            Ending::NoAnswer
         }
+        return match status {
+            200 if head.body != id => Ending::Foreign(head.body),
+            _ => Ending::Answered(status),
+        };
     }
 }
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! if the case could not run. With `TROUBLE=0` the disruption is left out.
 
 mod candidate;
+mod costly;
 mod fleet;
 mod http;
 mod process;
@@ -27,6 +28,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     record.say(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let result = match case.as_str() {
+        "costly" => costly::run(&record, trouble),
         "candidate" => candidate::run(&record, trouble),
         "repeated" => repeated::run(&record, trouble),
         "stopped" => stopped::run(&record, trouble),
