Review case 10: a planner does not start again after one override too many

The number of servers in an edited fleet is checked at the start only, so edits beyond 4,096 are answered ok and stored, and the next start ends with an error. Adds the case with its script. Fixes nothing.

--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod costly;
 mod fleet;
 mod http;
+mod overrides;
 mod process;
 mod record;
 mod repeated;
@@ -30,6 +31,7 @@
     let result = match case.as_str() {
         "costly" => costly::run(&record, trouble),
         "candidate" => candidate::run(&record, trouble),
+        "overrides" => overrides::run(&record, trouble),
         "repeated" => repeated::run(&record, trouble),
         "stopped" => stopped::run(&record, trouble),
         other => Err(format!("there is no case {other}")),
